Thin whole path: control, entry, side, fake endpoints, quickstart

Cause: the project begins; the first aim is one request served end to end through separate roles.

Change: replicated log, ticket state machine, planner, group grants, admission, per-request dispatch and routing as pure state machines, with HTTP shells around them, one binary, settings and tickets in INI, and a quickstart that runs all roles over loopback TCP.

Ruled out: epochs counted per group, since an endpoint that moves between groups would see its fencing number fall; the log index of the assignment is used.

--- /dev/null
+++ b/internal/configurer/configurer.go
@@ -0,0 +1,219 @@
+// Package configurer reads the settings of one process from an INI file.
+//
+// # Usage
+//
+//	settings, err := configurer.Read("settings.ini")
+//	for _, role := range settings.Roles { ... }
+//
+// Every mistake is reported with its line; see docs/SETTINGS.md for all keys.
+package configurer
+
+import (
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"papayaseam/internal/declarer"
+)
+
+// Role is what a process does.
+type Role string
+
+// The roles.
+const (
+	RoleControl  Role = "control"
+	RoleEntry    Role = "entry"
+	RoleSide     Role = "side"
+	RoleEndpoint Role = "fake-endpoint"
+)
+
+// Settings are the checked settings of one process.
+type Settings struct {
+	Roles         []Role
+	Name          string
+	Region        string
+	FailureDomain string
+	FabricDomain  string
+	Listen        string
+	Controls      map[string]string // Controls maps control processes to addresses.
+	StopAfter     time.Duration     // StopAfter bounds a planned stop.
+	LogLevel      string
+
+	DataFolder  string
+	MinPatience time.Duration
+	MaxPatience time.Duration
+	MaxLoads    int
+
+	APIListen   string
+	CutOffLimit time.Duration
+	Seed        uint64
+
+	Queue int
+	Drain time.Duration
+
+	Endpoint Endpoint
+}
+
+// Endpoint are the settings of a fake endpoint.
+type Endpoint struct {
+	Listen        string
+	Side          string
+	Service       string
+	ChecksFencing bool
+	Parallel      int
+	FirstToken    time.Duration
+	Step          time.Duration
+	Restart       time.Duration
+}
+
+const (
+	maxDurationMs = 24 * 60 * 60 * 1000
+	maxQueue      = 1_000_000
+	maxLoads      = 100_000
+)
+
+// Addresses returns the addresses of all control processes, sorted by name.
+func (s Settings) Addresses() []string {
+	var names []string
+	for name := range s.Controls {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var addresses []string
+	for _, name := range names {
+		addresses = append(addresses, s.Controls[name])
+	}
+	return addresses
+}
+
+// Has reports whether the process has a role.
+func (s Settings) Has(role Role) bool { return slices.Contains(s.Roles, role) }
+
+// Read reads and checks a settings file.
+func Read(name string) (Settings, error) {
+	f, err := declarer.Open(name)
+	if err != nil {
+		return Settings{}, err
+	}
+	return read(f)
+}
+
+// Parse reads and checks settings from memory.
+func Parse(name string, data []byte) (Settings, error) {
+	f, err := declarer.Parse(name, data)
+	if err != nil {
+		return Settings{}, err
+	}
+	return read(f)
+}
+
+func read(f *declarer.File) (Settings, error) {
+	r := reader{f}
+	s := Settings{
+		Name: f.Needed("process", "name"), Region: f.Needed("process", "region"),
+		FailureDomain: f.Needed("process", "failure-domain"), FabricDomain: f.Text("process", "fabric-domain", ""),
+		StopAfter: r.duration("process", "stop-after-ms", 90*time.Second),
+		LogLevel:  f.Text("process", "log-level", "info"),
+		Controls:  r.controls(),
+		Seed:      rand.Uint64(),
+	}
+	s.Roles = r.roles()
+	sections := []string{"process", "control"}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
+		f.Fail("process", "log-level", "log-level must be debug, info, warn or error")
+	}
+	if s.Has(RoleControl) || s.Has(RoleEntry) || s.Has(RoleSide) {
+		s.Listen = r.address("process", "listen")
+	}
+	if s.Has(RoleControl) {
+		r.control(&s)
+	}
+	if s.Has(RoleEntry) {
+		sections = append(sections, "entry")
+		s.APIListen = r.address("entry", "listen")
+		s.CutOffLimit = r.duration("entry", "cut-off-limit-ms", 0)
+	}
+	if s.Has(RoleSide) {
+		sections = append(sections, "side")
+		s.Queue = f.Int("side", "queue", 64, 1, maxQueue)
+		s.Drain = r.duration("side", "drain-ms", time.Minute)
+	}
+	if s.Has(RoleEndpoint) {
+		sections = append(sections, "fake-endpoint")
+		s.Endpoint = r.endpoint()
+	}
+	return s, f.Err(sections...)
+}
+
+type reader struct{ *declarer.File }
+
+func (r reader) roles() []Role {
+	var roles []Role
+	for _, word := range r.List("process", "roles") {
+		role := Role(word)
+		if !slices.Contains([]Role{RoleControl, RoleEntry, RoleSide, RoleEndpoint}, role) {
+			r.Fail("process", "roles", "no role %q; use control, entry, side or fake-endpoint", word)
+			continue
+		}
+		roles = append(roles, role)
+	}
+	if len(roles) == 0 {
+		r.Fail("process", "roles", "the process needs a role; set roles to control, entry or side")
+	}
+	return roles
+}
+
+// controls reads pairs of name and address.
+func (r reader) controls() map[string]string {
+	controls := map[string]string{}
+	for _, pair := range r.List("control", "peers") {
+		name, address, ok := strings.Cut(pair, "=")
+		_, _, err := net.SplitHostPort(strings.TrimSpace(address))
+		if !ok || err != nil {
+			r.Fail("control", "peers", "%q is no peer; write NAME=IP:PORT, with commas between peers", pair)
+			continue
+		}
+		controls[strings.TrimSpace(name)] = strings.TrimSpace(address)
+	}
+	if len(controls) == 0 {
+		r.Fail("control", "peers", "name all control processes as NAME=IP:PORT, with commas between them")
+	}
+	if len(controls) == 2 {
+		r.Fail("control", "peers", "two control processes can not lose one; use one, three or five")
+	}
+	return controls
+}
+
+func (r reader) control(s *Settings) {
+	s.DataFolder = r.Needed("control", "data-folder")
+	s.MinPatience = r.duration("control", "min-patience-ms", 3*time.Second)
+	s.MaxPatience = r.duration("control", "max-patience-ms", time.Minute)
+	s.MaxLoads = r.Int("control", "max-loads", 64, 1, maxLoads)
+	if s.MinPatience > s.MaxPatience {
+		r.Fail("control", "min-patience-ms", "min-patience-ms is above max-patience-ms; lower it")
+	}
+}
+
+func (r reader) endpoint() Endpoint {
+	const section = "fake-endpoint"
+	return Endpoint{
+		Listen: r.address(section, "listen"), Side: r.address(section, "side"), Service: r.Text(section, "service", ""),
+		ChecksFencing: r.Bool(section, "checks-fencing", true), Parallel: r.Int(section, "parallel", 16, 1, maxQueue),
+		FirstToken: r.duration(section, "first-token-ms", 50*time.Millisecond), Step: r.duration(section, "step-ms", 20*time.Millisecond),
+		Restart: r.duration(section, "restart-ms", time.Second),
+	}
+}
+
+func (r reader) address(section, key string) string {
+	value := r.Needed(section, key)
+	if _, _, err := net.SplitHostPort(value); value != "" && err != nil {
+		r.Fail(section, key, "%q is no address; write IP:PORT", value)
+	}
+	return value
+}
+
+func (r reader) duration(section, key string, fallback time.Duration) time.Duration {
+	return time.Duration(r.Int(section, key, int(fallback/time.Millisecond), 0, maxDurationMs)) * time.Millisecond
+}
--- /dev/null
+++ b/internal/dispatcher/messages.go
@@ -0,0 +1,125 @@
+package dispatcher
+
+import "papayaseam/internal/messenger"
+
+// Msg is an input of the machine.
+type Msg interface{ dispatcherMsg() }
+
+// StartMsg begins the request.
+type StartMsg struct{}
+
+// ChosenMsg answers a ChooseEffect; Kind tells why no target was found.
+type ChosenMsg struct {
+	Target  Target
+	Kind    string
+	Message string
+}
+
+// ClaimedMsg answers a ClaimEffect.
+type ClaimedMsg struct {
+	Answer messenger.ClaimAnswer
+	Failed bool // Failed means that the outcome of the claim is not known.
+}
+
+// FrameMsg is a piece of the current attempt's answer.
+type FrameMsg struct{ Frame messenger.Frame }
+
+// BrokenMsg tells that the connection of the attempt or attachment ended
+// without a final frame.
+type BrokenMsg struct {
+	Sent    bool // Sent is false only if no byte of the attempt left.
+	Unknown bool // Unknown means that the leader answered that it does not know the attempt.
+}
+
+// RevokedMsg answers a RevokeEffect.
+type RevokedMsg struct {
+	NotRun bool
+	Failed bool
+	State  string
+}
+
+// ReportedMsg answers a ReportEffect.
+type ReportedMsg struct{ Crashes int }
+
+// GoneMsg tells that the caller has left.
+type GoneMsg struct{}
+
+func (StartMsg) dispatcherMsg()    {}
+func (ChosenMsg) dispatcherMsg()   {}
+func (ClaimedMsg) dispatcherMsg()  {}
+func (FrameMsg) dispatcherMsg()    {}
+func (BrokenMsg) dispatcherMsg()   {}
+func (RevokedMsg) dispatcherMsg()  {}
+func (ReportedMsg) dispatcherMsg() {}
+func (GoneMsg) dispatcherMsg()     {}
+
+// Effect is an output of the machine.
+type Effect interface{ dispatcherEffect() }
+
+// ChooseEffect asks for a target.
+type ChooseEffect struct {
+	Excluded map[string]bool
+	Retry    bool
+}
+
+// ClaimEffect commits a claim before the dispatch.
+type ClaimEffect struct{ Request messenger.ClaimRequest }
+
+// SendEffect sends an attempt.
+type SendEffect struct {
+	Target  Target
+	Attempt string
+	Suspect bool
+}
+
+// AttachEffect asks for the attempt's answer over a new connection.
+type AttachEffect struct {
+	Target  Target
+	Attempt string
+	Offset  int
+	Pause   bool // Pause asks for a short wait before the connection.
+}
+
+// RevokeEffect asks that the attempt never starts; with Cancel the outcome is
+// not awaited.
+type RevokeEffect struct {
+	Target  Target
+	Attempt string
+	Cancel  bool
+}
+
+// DeliverEffect passes a piece of the answer on.
+type DeliverEffect struct{ Frame messenger.Frame }
+
+// ResumeEffect prepares the next attempt to continue what was delivered.
+type ResumeEffect struct{}
+
+// RefusedEffect tells the router that a group refused.
+type RefusedEffect struct {
+	Target Target
+	Kind   string
+}
+
+// ReportEffect reports a crash and awaits the count.
+type ReportEffect struct {
+	Replica     string
+	Fingerprint string
+}
+
+// FinishEffect ends the request.
+type FinishEffect struct {
+	Verdict Verdict
+	Kind    string
+	Message string
+}
+
+func (ChooseEffect) dispatcherEffect()  {}
+func (ClaimEffect) dispatcherEffect()   {}
+func (SendEffect) dispatcherEffect()    {}
+func (AttachEffect) dispatcherEffect()  {}
+func (RevokeEffect) dispatcherEffect()  {}
+func (DeliverEffect) dispatcherEffect() {}
+func (ResumeEffect) dispatcherEffect()  {}
+func (RefusedEffect) dispatcherEffect() {}
+func (ReportEffect) dispatcherEffect()  {}
+func (FinishEffect) dispatcherEffect()  {}
--- /dev/null
+++ b/internal/dispatcher/options.go
@@ -0,0 +1,29 @@
+package dispatcher
+
+import "time"
+
+const (
+	defaultAttachFor = 6 * time.Second
+	defaultAttaches  = 8
+	defaultCrashes   = 2
+)
+
+type options struct {
+	attachFor time.Duration
+	attaches  int
+	crashes   int
+}
+
+func defaults() options {
+	return options{attachFor: defaultAttachFor, attaches: defaultAttaches, crashes: defaultCrashes}
+}
+
+// Option changes a setting of a Machine.
+type Option func(*options)
+
+// WithAttachFor sets how long a lost attempt is looked for before the request
+// goes on without it.
+func WithAttachFor(d time.Duration) Option { return func(o *options) { o.attachFor = d } }
+
+// WithCrashes sets after how many crashed replicas a request is held.
+func WithCrashes(n int) Option { return func(o *options) { o.crashes = n } }
--- /dev/null
+++ b/internal/replicator/compare_test.go
@@ -0,0 +1,10 @@
+package replicator
+
+import (
+	"errors"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// cmpErrors compares errors by identity of the sentinel.
+var cmpErrors = cmp.Comparer(func(a, b error) bool { return errors.Is(a, b) })
--- /dev/null
+++ b/internal/replicator/messages.go
@@ -0,0 +1,100 @@
+package replicator
+
+import (
+	"papayaseam/internal/messenger"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrNotLeader refuses a proposal at a replica that does not lead; send it to
+// the leader instead.
+var ErrNotLeader = errors.New("this replica does not lead; send the proposal to the leader")
+
+// ErrChangePending refuses a membership change while another one is not yet
+// committed; repeat it later.
+var ErrChangePending = errors.New("another membership change is pending; repeat the change when it has ended")
+
+// Msg is an input of the machine.
+type Msg interface{ replicaMsg() }
+
+// TickMsg tells that one tick of the timer has passed.
+type TickMsg struct{}
+
+// ReceiveMsg carries a message from another replica.
+type ReceiveMsg struct{ Message messenger.ReplicaMessage }
+
+// ProposeMsg asks for one command to be appended to the log.
+type ProposeMsg struct {
+	ID   uint64 // ID names the proposal in the effect that answers it.
+	Data []byte
+}
+
+// ChangeVotersMsg asks for one voter to be added or removed.
+type ChangeVotersMsg struct {
+	ID     uint64
+	Add    string
+	Remove string
+}
+
+// CompactMsg replaces the log up to an applied index by a snapshot.
+type CompactMsg struct {
+	Index int
+	Data  []byte
+}
+
+func (TickMsg) replicaMsg()         {}
+func (ReceiveMsg) replicaMsg()      {}
+func (ProposeMsg) replicaMsg()      {}
+func (ChangeVotersMsg) replicaMsg() {}
+func (CompactMsg) replicaMsg()      {}
+
+// Effect is an output of the machine.
+type Effect interface{ replicaEffect() }
+
+// SaveEffect writes durable state; it must be synced before any effect behind
+// it is executed. Entries replace everything at or behind their first index; a
+// snapshot replaces everything up to its index, and with Reset the whole log.
+type SaveEffect struct {
+	Vote     *messenger.VoteState
+	Entries  []messenger.Entry
+	Snapshot *messenger.Snapshot
+	Reset    bool
+}
+
+// SendEffect sends a message to another replica; it may be lost.
+type SendEffect struct{ Message messenger.ReplicaMessage }
+
+// ApplyEffect hands committed entries to the state machine above.
+type ApplyEffect struct{ Entries []messenger.Entry }
+
+// RestoreEffect replaces the state machine above by a snapshot.
+type RestoreEffect struct{ Snapshot messenger.Snapshot }
+
+// AcceptEffect tells at which index and term a proposal was appended. It is
+// committed only if that index is applied with that term.
+type AcceptEffect struct {
+	ID    uint64
+	Index int
+	Term  int
+}
+
+// RejectEffect tells that a proposal was not appended.
+type RejectEffect struct {
+	ID  uint64
+	Err error
+}
+
+// LeaderEffect tells that the known leader or the role has changed.
+type LeaderEffect struct {
+	Leader string
+	Role   Role
+	Term   int
+}
+
+func (SaveEffect) replicaEffect()    {}
+func (SendEffect) replicaEffect()    {}
+func (ApplyEffect) replicaEffect()   {}
+func (RestoreEffect) replicaEffect() {}
+func (AcceptEffect) replicaEffect()  {}
+func (RejectEffect) replicaEffect()  {}
+func (LeaderEffect) replicaEffect()  {}
--- /dev/null
+++ b/internal/replicator/options.go
@@ -0,0 +1,38 @@
+package replicator
+
+const (
+	defaultElectionTicks  = 10
+	defaultHeartbeatTicks = 2
+	defaultBatchEntries   = 512
+)
+
+type options struct {
+	seed           uint64
+	electionTicks  int
+	heartbeatTicks int
+	batchEntries   int
+}
+
+func defaults() options {
+	return options{
+		electionTicks:  defaultElectionTicks,
+		heartbeatTicks: defaultHeartbeatTicks,
+		batchEntries:   defaultBatchEntries,
+	}
+}
+
+// Option changes a setting of a Machine.
+type Option func(*options)
+
+// WithSeed sets the seed of the election timeouts.
+func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
+
+// WithElectionTicks sets the least election timeout in ticks; the longest is
+// just under twice as long.
+func WithElectionTicks(n int) Option { return func(o *options) { o.electionTicks = n } }
+
+// WithHeartbeatTicks sets the pace of a leader's heartbeats in ticks.
+func WithHeartbeatTicks(n int) Option { return func(o *options) { o.heartbeatTicks = n } }
+
+// WithBatchEntries sets the most entries in one append message.
+func WithBatchEntries(n int) Option { return func(o *options) { o.batchEntries = n } }
--- /dev/null
+++ b/internal/replicator/replicator_test.go
@@ -0,0 +1,289 @@
+package replicator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"papayaseam/internal/messenger"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// disk is what a replica's saves have made durable.
+type disk struct{ state State }
+
+func (d *disk) save(effect SaveEffect) {
+	if effect.Vote != nil {
+		d.state.Vote = *effect.Vote
+	}
+	if effect.Snapshot != nil {
+		d.state.Entries = slices.DeleteFunc(d.state.Entries, func(e messenger.Entry) bool { return effect.Reset || e.Index <= effect.Snapshot.Index })
+		d.state.Snapshot = *effect.Snapshot
+	}
+	if len(effect.Entries) > 0 {
+		first := effect.Entries[0].Index
+		d.state.Entries = slices.DeleteFunc(d.state.Entries, func(e messenger.Entry) bool { return e.Index >= first })
+		d.state.Entries = append(d.state.Entries, effect.Entries...)
+	}
+}
+
+// cluster drives replicas in one thread and checks the invariants after each
+// step.
+type cluster struct {
+	t        testingT
+	machines map[string]*Machine
+	disks    map[string]*disk
+	network  []messenger.ReplicaMessage
+	applied  map[string][]string
+	agreed   []string
+	leaders  map[int]string
+	accepted int
+	next     uint64
+	cut      map[string]bool
+	opts     []Option
+}
+
+type testingT interface {
+	Fatalf(format string, args ...any)
+}
+
+func newCluster(t testingT, n int, seed uint64, opts ...Option) *cluster {
+	c := &cluster{
+		t: t, machines: map[string]*Machine{}, disks: map[string]*disk{}, applied: map[string][]string{},
+		leaders: map[int]string{}, cut: map[string]bool{}, opts: append([]Option{WithSeed(seed)}, opts...),
+	}
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("%c%*s", 'a'+i, i, ""))
+	}
+	for _, id := range ids {
+		c.disks[id] = &disk{State{Snapshot: messenger.Snapshot{Voters: ids}}}
+		c.start(id)
+	}
+	return c
+}
+
+func (c *cluster) start(id string) {
+	c.applied[id] = decodeApplied(c.disks[id].state.Snapshot.Data)
+	c.machines[id] = New(id, c.disks[id].state, c.opts...)
+}
+
+func decodeApplied(data []byte) []string {
+	var list []string
+	for _, b := range slices.Collect(slices.Chunk(data, 8)) {
+		list = append(list, string(b))
+	}
+	return list
+}
+
+func (c *cluster) ids() []string {
+	var ids []string
+	for id := range c.machines {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// step updates one replica; with crashAfter at zero or more, it dies behind
+// that many effects and restarts from its disk.
+func (c *cluster) step(id string, msg Msg, crashAfter int) {
+	for i, effect := range c.machines[id].Update(msg) {
+		if crashAfter == i {
+			c.start(id)
+			return
+		}
+		c.execute(id, effect)
+	}
+}
+
+func (c *cluster) execute(id string, effect Effect) {
+	switch effect := effect.(type) {
+	case SaveEffect:
+		c.disks[id].save(effect)
+	case SendEffect:
+		c.network = append(c.network, effect.Message)
+	case RestoreEffect:
+		c.applied[id] = decodeApplied(effect.Snapshot.Data)
+		c.checkPrefix(id)
+	case ApplyEffect:
+		for _, entry := range effect.Entries {
+			c.applied[id] = append(c.applied[id], fmt.Sprintf("%d:%06s", entry.Kind, entry.Data)[:8])
+		}
+		c.checkPrefix(id)
+	case LeaderEffect:
+		if effect.Role != Leader {
+			return
+		}
+		if other, ok := c.leaders[effect.Term]; ok && other != id {
+			c.t.Fatalf("two leaders in term %d: %q and %q", effect.Term, other, id)
+		}
+		c.leaders[effect.Term] = id
+	}
+}
+
+// checkPrefix checks that all replicas applied prefixes of one history.
+func (c *cluster) checkPrefix(id string) {
+	own := c.applied[id]
+	n := min(len(own), len(c.agreed))
+	if !slices.Equal(own[:n], c.agreed[:n]) {
+		c.t.Fatalf("replica %q applied another history:\n%v\n%v", id, own, c.agreed)
+	}
+	if len(own) > len(c.agreed) {
+		c.agreed = slices.Clone(own)
+	}
+}
+
+func (c *cluster) propose(id string, crashAfter int) {
+	c.next++
+	c.step(id, ProposeMsg{ID: c.next, Data: fmt.Appendf(nil, "%06d", c.next)}, crashAfter)
+}
+
+func (c *cluster) compact(id string) {
+	var data []byte
+	for _, a := range c.applied[id] {
+		data = append(data, a...)
+	}
+	c.step(id, CompactMsg{Index: c.machines[id].Applied(), Data: data}, -1)
+}
+
+func (c *cluster) deliver(i, crashAfter int) {
+	message := c.network[i]
+	c.network = slices.Delete(c.network, i, i+1)
+	if c.cut[message.To] || c.cut[message.From] || c.machines[message.To] == nil {
+		return
+	}
+	c.step(message.To, ReceiveMsg{Message: message}, crashAfter)
+}
+
+// settle runs the cluster without faults.
+func (c *cluster) settle(ticks int) {
+	for range ticks {
+		for _, id := range c.ids() {
+			c.step(id, TickMsg{}, -1)
+		}
+		for n := 0; len(c.network) > 0 && n < 10000; n++ {
+			c.deliver(0, -1)
+		}
+	}
+}
+
+func (c *cluster) leader() string {
+	best, term := "", -1
+	for id, m := range c.machines {
+		if m.Role() == Leader && m.Term() > term && !c.cut[id] {
+			best, term = id, m.Term()
+		}
+	}
+	return best
+}
+
+// TestLogHistories drives random orders of faults: lost, doubled and
+// reordered messages, cuts, crashes between any two effects, snapshots.
+func TestLogHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "replicas")
+		c := newCluster(t, n, rapid.Uint64().Draw(t, "seed"), WithBatchEntries(3))
+		steps := rapid.IntRange(50, 400).Draw(t, "steps")
+		for range steps {
+			c.randomStep(t)
+		}
+		clear(c.cut)
+		c.settle(80)
+		leader := c.leader()
+		if leader == "" {
+			t.Fatalf("no leader after the faults ended")
+		}
+		c.propose(leader, -1)
+		c.settle(10)
+		for id := range c.machines {
+			if len(c.applied[id]) != len(c.agreed) {
+				t.Fatalf("replica %q applied %d of %d entries after the faults ended", id, len(c.applied[id]), len(c.agreed))
+			}
+		}
+	})
+}
+
+func (c *cluster) randomStep(t *rapid.T) {
+	ids := c.ids()
+	id := rapid.SampledFrom(ids).Draw(t, "replica")
+	crash := -1
+	if rapid.IntRange(0, 19).Draw(t, "crash") == 0 {
+		crash = rapid.IntRange(0, 3).Draw(t, "after")
+	}
+	switch action := rapid.IntRange(0, 19).Draw(t, "action"); {
+	case action < 7 && len(c.network) > 0:
+		c.deliver(rapid.IntRange(0, min(len(c.network)-1, 8)).Draw(t, "message"), crash)
+	case action < 12:
+		for range rapid.IntRange(1, 6).Draw(t, "ticks") {
+			c.step(id, TickMsg{}, -1)
+		}
+	case action < 15:
+		c.propose(id, crash)
+	case action == 15 && len(c.network) > 0:
+		c.network = slices.Delete(c.network, 0, 1)
+	case action == 16 && len(c.network) > 0:
+		c.network = append(c.network, c.network[0])
+	case action == 17:
+		c.cut[id] = !c.cut[id]
+	case action == 18:
+		c.compact(id)
+	case action == 19:
+		c.start(id)
+	}
+}
+
+func TestLostDiskRejoinsAsNewVoter(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.settle(40)
+	for range 20 {
+		c.propose(c.leader(), -1)
+		c.settle(1)
+	}
+	c.compact(c.leader())
+	lost := c.ids()[0]
+	if lost == c.leader() {
+		lost = c.ids()[1]
+	}
+	delete(c.machines, lost)
+	c.step(c.leader(), ChangeVotersMsg{Remove: lost}, -1)
+	c.settle(5)
+	c.disks["new"] = &disk{}
+	c.start("new")
+	c.step(c.leader(), ChangeVotersMsg{Add: "new"}, -1)
+	c.settle(10)
+	assert.DeepEqual(t, c.applied["new"], c.agreed)
+	assert.Assert(t, slices.Contains(c.machines["new"].Voters(), "new"))
+	assert.Assert(t, !slices.Contains(c.machines["new"].Voters(), lost))
+}
+
+func TestCutOffLeaderStepsDownAndCommitsNothing(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.settle(40)
+	former := c.leader()
+	c.cut[former] = true
+	c.propose(former, -1)
+	before := c.machines[former].Commit()
+	c.settle(60)
+	assert.Equal(t, c.machines[former].Commit(), before)
+	assert.Assert(t, c.machines[former].Role() != Leader)
+	assert.Assert(t, c.leader() != "" && c.leader() != former)
+}
+
+func TestSecondMembershipChangeIsRefusedWhilePending(t *testing.T) {
+	c := newCluster(t, 3, 5)
+	c.settle(40)
+	leader := c.leader()
+	m := c.machines[leader]
+	m.Update(ChangeVotersMsg{ID: 1, Add: "d"})
+	effects := m.Update(ChangeVotersMsg{ID: 2, Add: "e"})
+	assert.DeepEqual(t, effects, []Effect{RejectEffect{ID: 2, Err: ErrChangePending}}, cmpErrors)
+}
+
+func TestProposalAtFollowerIsRefused(t *testing.T) {
+	c := newCluster(t, 3, 5)
+	effects := c.machines[c.ids()[0]].Update(ProposeMsg{ID: 9})
+	assert.DeepEqual(t, effects, []Effect{RejectEffect{ID: 9, Err: ErrNotLeader}}, cmpErrors)
+}
--- /dev/null
+++ b/internal/router/messages.go
@@ -0,0 +1,23 @@
+package router
+
+import "papayaseam/internal/messenger"
+
+// Msg is an input of the router.
+type Msg interface{ routerMsg() }
+
+// GroupsMsg carries all active groups of the newest configuration.
+type GroupsMsg struct{ Groups []Group }
+
+// LoadsMsg carries load reports, from digests or on answers.
+type LoadsMsg struct{ Loads []messenger.GroupLoad }
+
+// SentMsg tells that this entry sent an attempt to a group.
+type SentMsg struct{ Group string }
+
+// RefusedMsg tells that a group refused or could not be reached.
+type RefusedMsg struct{ Group string }
+
+func (GroupsMsg) routerMsg()  {}
+func (LoadsMsg) routerMsg()   {}
+func (SentMsg) routerMsg()    {}
+func (RefusedMsg) routerMsg() {}
--- /dev/null
+++ b/internal/transporter/server.go
@@ -0,0 +1,76 @@
+package transporter
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Server is one HTTP listener as an actor.
+type Server struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// Listen opens the address and returns a server for the handler.
+func Listen(address string, handler http.Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s; choose a free address in the settings", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &Server{listener: listener, server: server}, nil
+}
+
+// Address returns the address in use.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Run serves until the context ends, then closes all connections.
+func (s *Server) Run(ctx context.Context) error {
+	ended := make(chan error, 1)
+	go func() { ended <- s.server.Serve(s.listener) }()
+	select {
+	case <-ctx.Done():
+		_ = s.server.Close()
+		<-ended
+		return nil
+	case err := <-ended:
+		return errors.Wrap(err, "serve")
+	}
+}
+
+// Read decodes a message from a request and answers 400 where it can not.
+func Read(w http.ResponseWriter, r *http.Request, in any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxInnerBytes)).Decode(in)
+	if err != nil {
+		http.Error(w, "the message is not valid JSON of its schema: "+err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// Write answers with a message.
+func Write(w http.ResponseWriter, status int, out any) {
+	data, err := json.Marshal(out)
+	if err != nil {
+		http.Error(w, "the answer has no JSON form: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// Handle registers a handler for one kind of message that is answered by
+// another one.
+func Handle[In, Out any](mux *http.ServeMux, pattern string, handle func(ctx context.Context, in In) Out) {
+	mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		if Read(w, r, &in) {
+			Write(w, http.StatusOK, handle(r.Context(), in))
+		}
+	})
+}
--- /dev/null
+++ b/internal/transporter/transporter.go
@@ -0,0 +1,147 @@
+// Package transporter carries the inner messages: JSON over HTTP by net/http
+// on both sides, with typed errors that tell whether anything was sent.
+//
+// # Usage
+//
+//	client := transporter.NewClient()
+//	var answer messenger.SyncResponse
+//	err := client.Call(ctx, "http://127.0.0.1:7101/inner/sync", request, &answer)
+//	if errors.Is(err, transporter.ErrUnreachable) { ... } // nothing was sent
+package transporter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	dialTimeout    = time.Second
+	idleTimeout    = 30 * time.Second
+	idlePerHost    = 64
+	headerTimeout  = 10 * time.Second
+	maxInnerBytes  = 64 << 20
+	maxHeaderBytes = 64 << 10
+)
+
+// ErrUnreachable means that no connection could be made, so that no byte of
+// the message left; check the address and that the process runs.
+var ErrUnreachable = errors.New("the process could not be reached; check its address and that it runs")
+
+// ErrBroken means that the exchange ended without a whole answer, so that its
+// outcome is not known.
+var ErrBroken = errors.New("the exchange broke; its outcome is not known")
+
+// StatusError is an answer with a status of 400 or above.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error returns the status and the body.
+func (e *StatusError) Error() string {
+	return http.StatusText(e.Status) + ": " + e.Body
+}
+
+// Client sends inner messages.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client that keeps connections open between calls.
+func NewClient() *Client { return &Client{http: &http.Client{Transport: newTransport(true)}} }
+
+// NewOneShotClient returns a client that opens a connection for each call, for
+// calls that the HTTP library must never replay.
+func NewOneShotClient() *Client { return &Client{http: &http.Client{Transport: newTransport(false)}} }
+
+func newTransport(keepAlive bool) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableKeepAlives:   !keepAlive,
+		DisableCompression:  true,
+	}
+}
+
+// Do sends a request as it is; errors are ErrUnreachable or ErrBroken.
+func (c *Client) Do(request *http.Request) (*http.Response, error) {
+	response, err := c.http.Do(request)
+	return response, classify(err)
+}
+
+// classify tells a failed dial from any later failure.
+func classify(err error) error {
+	if err == nil {
+		return nil
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Mark(err, ErrUnreachable)
+	}
+	return errors.Mark(err, ErrBroken)
+}
+
+// Post sends a message and returns the response with an open body; a status of
+// 400 or above is returned as a StatusError.
+func (c *Client) Post(ctx context.Context, url string, in any) (*http.Response, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the message")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "build the request"), ErrUnreachable)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return c.checked(request)
+}
+
+func (c *Client) checked(request *http.Request) (*http.Response, error) {
+	response, err := c.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode < http.StatusBadRequest {
+		return response, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxHeaderBytes))
+	return nil, &StatusError{Status: response.StatusCode, Body: string(text)}
+}
+
+// Call sends a message and decodes the answer into out.
+func (c *Client) Call(ctx context.Context, url string, in, out any) error {
+	response, err := c.Post(ctx, url, in)
+	if err != nil {
+		return err
+	}
+	return decode(response, out)
+}
+
+// Get fetches a JSON answer into out.
+func (c *Client) Get(ctx context.Context, url string, out any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "build the request"), ErrUnreachable)
+	}
+	response, err := c.checked(request)
+	if err != nil {
+		return err
+	}
+	return decode(response, out)
+}
+
+func decode(response *http.Response, out any) error {
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxInnerBytes)).Decode(out); err != nil {
+		return errors.Mark(errors.Wrap(err, "decode the answer"), ErrBroken)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return nil
+}
