--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -109,7 +109,7 @@
 	case StartMsg:
 		m.begin(now)
 	case ChosenMsg:
-		m.chosen(now, msg)
+		m.chosen(msg)
 	case ClaimedMsg:
 		m.claimed(now, msg)
 	case FrameMsg:
@@ -159,7 +159,7 @@
 	return groups
 }
 
-func (m *Machine) chosen(now time.Duration, msg ChosenMsg) {
+func (m *Machine) chosen(msg ChosenMsg) {
 	if m.phase != choosing {
 		return
 	}
--- a/internal/granter/member.go
+++ b/internal/granter/member.go
@@ -100,10 +100,11 @@
 		return "starting"
 	case time.Duration(request.GrantMs)*time.Millisecond > m.options.grant:
 		return "grant-too-long"
-	case request.Epoch > m.wanted.Spec.Epoch:
-		m.emit(RefreshEffect{})
-		return "config-behind"
 	case m.held.Group != request.Group || m.held.Spec.Epoch != request.Epoch || m.held.Standby:
+		if request.Epoch > m.wanted.Spec.Epoch {
+			m.emit(RefreshEffect{})
+			return "config-behind"
+		}
 		return "not-a-member"
 	case m.held.Spec.Members[0].Instance != request.Leader:
 		return "not-the-leader"
