--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,75 @@
+package dispatcher_test
+
+import (
+	"testing"
+
+	"papayaseam/internal/dispatcher"
+	"papayaseam/internal/messenger"
+
+	"gotest.tools/v3/assert"
+)
+
+// sent returns a request whose first attempt is under way.
+func sent(request dispatcher.Request, opts ...dispatcher.Option) *dispatcher.Machine {
+	m := dispatcher.New(request, func() string { return "a1" }, opts...)
+	m.Update(0, dispatcher.StartMsg{})
+	m.Update(0, dispatcher.ChosenMsg{Target: dispatcher.Target{Group: "g", Address: "g"}})
+	return m
+}
+
+func frame(offset int, data string) dispatcher.FrameMsg {
+	return dispatcher.FrameMsg{Frame: messenger.Frame{Attempt: "a1", Offset: offset, Data: []byte(data)}}
+}
+
+func TestGapInAnAnswerIsNeverPassedOn(t *testing.T) {
+	m := sent(dispatcher.Request{ID: "r"})
+	m.Update(0, frame(0, "abc"))
+	effects := m.Update(0, frame(5, "fg"))
+	attach, ok := effects[0].(dispatcher.AttachEffect)
+	assert.Assert(t, ok, "%T", effects[0])
+	assert.Equal(t, attach.Offset, 3)
+}
+
+func TestNeighboursFrameIsNeverPassedOn(t *testing.T) {
+	m := sent(dispatcher.Request{ID: "r"})
+	effects := m.Update(0, dispatcher.FrameMsg{Frame: messenger.Frame{Attempt: "b7", Data: []byte("x")}})
+	_, ok := effects[0].(dispatcher.AttachEffect)
+	assert.Assert(t, ok, "%T", effects[0])
+}
+
+func TestShortAnswerIsNoAnswer(t *testing.T) {
+	m := sent(dispatcher.Request{ID: "r"})
+	m.Update(0, frame(0, "abc"))
+	last := messenger.Frame{Attempt: "a1", Final: true, Verdict: "answered", Length: 9}
+	effects := m.Update(0, dispatcher.FrameMsg{Frame: last})
+	assert.Equal(t, effects[0].(dispatcher.FinishEffect).Verdict, dispatcher.MayHaveRun)
+}
+
+// TestCrashingRequestStopsAfterTwoReplicas lets every endpoint crash.
+func TestCrashingRequestStopsAfterTwoReplicas(t *testing.T) {
+	m := sent(dispatcher.Request{ID: "r", Repeatable: true, Fingerprint: "f"})
+	crash := dispatcher.FrameMsg{Frame: messenger.Frame{Attempt: "a1", Final: true, Verdict: "may-have-run", Kind: "endpoint-crashed", Replica: "g#1"}}
+	m.Update(0, crash)
+	m.Update(0, dispatcher.ReportedMsg{Crashes: 1})
+	m.Update(0, dispatcher.ChosenMsg{Target: dispatcher.Target{Group: "h", Address: "h"}})
+	m.Update(0, crash)
+	effects := m.Update(0, dispatcher.ReportedMsg{})
+	assert.Equal(t, effects[0].(dispatcher.FinishEffect).Kind, "request-held")
+	assert.Equal(t, m.Tries(), 2)
+}
+
+func TestHeldRequestIsRefusedBeforeItRuns(t *testing.T) {
+	m := dispatcher.New(dispatcher.Request{ID: "r", Crashes: 2}, func() string { return "a1" })
+	effects := m.Update(0, dispatcher.StartMsg{})
+	finish := effects[0].(dispatcher.FinishEffect)
+	assert.Equal(t, finish.Kind, "request-held")
+	assert.Equal(t, finish.Verdict, dispatcher.NotRun)
+}
+
+func TestUnreachableLeaderMeansNotRunAndAnotherTry(t *testing.T) {
+	m := sent(dispatcher.Request{ID: "r"})
+	effects := m.Update(0, dispatcher.BrokenMsg{})
+	choose, ok := effects[1].(dispatcher.ChooseEffect)
+	assert.Assert(t, ok, "%T", effects[1])
+	assert.Assert(t, choose.Excluded["g"])
+}
--- a/internal/dispatcher/histories_test.go
+++ b/internal/dispatcher/histories_test.go
@@ -211,6 +211,9 @@
 			w.starts[l.attempts[effect.ID].request]++
 			w.byAttempt[effect.ID]++
 		case admitter.RefuseEffect:
+			if l.attempts[effect.ID] == nil {
+				l.attempts[effect.ID] = &kept{}
+			}
 			l.attempts[effect.ID].final = &messenger.Frame{Verdict: "not-run", Kind: effect.Kind}
 		case admitter.RevokedEffect:
 			revoked = effect
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -287,3 +287,25 @@
 	effects := c.machines[c.ids()[0]].Update(ProposeMsg{ID: 9})
 	assert.DeepEqual(t, effects, []Effect{RejectEffect{ID: 9, Err: ErrNotLeader}}, cmpErrors)
 }
+
+// TestOlderTermCommitsOnlyBehindOwnEntry replays the classic case in which an
+// entry of an older term is on a majority, and is still overwritten.
+func TestOlderTermCommitsOnlyBehindOwnEntry(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	entry := func(index, term int) messenger.Entry { return messenger.Entry{Index: index, Term: term} }
+	m := New("a", State{
+		Vote:     messenger.VoteState{Term: 3},
+		Snapshot: messenger.Snapshot{Voters: ids},
+		Entries:  []messenger.Entry{entry(1, 1), entry(2, 2)},
+	})
+	for m.Role() != PreCandidate {
+		m.Update(TickMsg{})
+	}
+	m.Update(ReceiveMsg{messenger.ReplicaMessage{Kind: KindPreVoteAnswer, From: "b", To: "a", Term: 4}})
+	m.Update(ReceiveMsg{messenger.ReplicaMessage{Kind: KindVoteAnswer, From: "b", To: "a", Term: 4}})
+	assert.Equal(t, m.Role(), Leader)
+	m.Update(ReceiveMsg{messenger.ReplicaMessage{Kind: KindAppendAnswer, From: "b", To: "a", Term: 4, Index: 2}})
+	assert.Equal(t, m.Commit(), 0, "an entry of term 2 was committed by counting replicas")
+	m.Update(ReceiveMsg{messenger.ReplicaMessage{Kind: KindAppendAnswer, From: "b", To: "a", Term: 4, Index: 3}})
+	assert.Equal(t, m.Commit(), 3)
+}
