--- a/internal/commander/quickstart.go
+++ b/internal/commander/quickstart.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,6 +32,10 @@
 	quickstartKey     = "papaya-demo-key"
 	quickstartTimeout = 30 * time.Second
 	quickstartSides   = 3
+
+	firstPort = 20_000
+	portRange = 12_000
+	portTries = 1_000
 )
 
 func quickstartCommand(stdout, stderr io.Writer) *cli.Command {
@@ -113,17 +118,22 @@
 	return nil
 }
 
+// freeAddresses returns free loopback addresses outside of the range from which
+// the system draws ports for outgoing connections.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portRange)))
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+			continue
 		}
 		addresses = append(addresses, listener.Addr().String())
 		defer func() { _ = listener.Close() }()
 	}
-	return addresses, nil
+	return nil, errors.New("no free ports between 20000 and 32000; end what uses them")
 }
 
 const quickstartTicket = `[ticket]
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -37,6 +37,7 @@
 	FailureDomain string
 	FabricDomain  string
 	Listen        string
+	Advertise     string            // Advertise is the address that others use; it is Listen unless set.
 	Controls      map[string]string // Controls maps control processes to addresses.
 	StopAfter     time.Duration     // StopAfter bounds a planned stop.
 	LogLevel      string
@@ -126,6 +127,7 @@
 	}
 	if s.Has(RoleControl) || s.Has(RoleEntry) || s.Has(RoleSide) {
 		s.Listen = r.address("process", "listen")
+		s.Advertise = f.Text("process", "advertise", s.Listen)
 	}
 	if s.Has(RoleControl) {
 		r.control(&s)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -141,7 +141,7 @@
 func (p *process) addControl(ctx context.Context) error {
 	s := p.settings
 	c, err := controller.New(controller.Config{
-		Name: s.Name, Address: s.Listen, Folder: s.DataFolder, Peers: s.Controls, Seed: s.Seed,
+		Name: s.Name, Address: s.Advertise, Folder: s.DataFolder, Peers: s.Controls, Seed: s.Seed,
 		Planner: []planner.Option{
 			planner.WithPatience(int(s.MinPatience/time.Millisecond), int(s.MaxPatience/time.Millisecond)),
 			planner.WithMaxLoads(s.MaxLoads),
@@ -173,7 +173,7 @@
 func (p *process) addSide(ctx context.Context) {
 	s := p.settings
 	side := supervisor.New(supervisor.Config{
-		Name: s.Name, Address: s.Listen, Region: s.Region, FailureDomain: s.FailureDomain, FabricDomain: s.FabricDomain,
+		Name: s.Name, Address: s.Advertise, Region: s.Region, FailureDomain: s.FailureDomain, FabricDomain: s.FabricDomain,
 		Controls: s.Addresses(), Queue: s.Queue, Drain: s.Drain,
 	}, p.log, p.health)
 	side.Register(p.inner)
@@ -184,7 +184,7 @@
 func (p *process) addEntry(ctx context.Context) error {
 	s := p.settings
 	entry := forwarder.New(forwarder.Config{
-		Name: s.Name, Address: s.Listen, Region: s.Region, FailureDomain: s.FailureDomain,
+		Name: s.Name, Address: s.Advertise, Region: s.Region, FailureDomain: s.FailureDomain,
 		Controls: s.Addresses(), Seed: s.Seed, CutOffLimit: s.CutOffLimit,
 	}, p.log, p.health)
 	api := http.NewServeMux()
