--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -452,3 +452,23 @@
 	}
 	return total
 }
+
+// acceptDirect submits a small ticket over HTTP until it is accepted.
+func (s *system) acceptDirect(number int, d deployment) {
+	s.t.Helper()
+	ticket := messenger.Ticket{Number: number, Author: "hana", Reason: "many", Objects: []messenger.Object{{
+		Kind: "objective", Name: "verses", Objective: &messenger.ObjectiveSpec{Target: d.model, PromisedMs: number, Percent: 99},
+	}}}
+	s.until("a ticket is accepted", func() bool {
+		for _, address := range s.controls {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			var answer messenger.CommandAnswer
+			err := transporter.NewClient().Call(ctx, "http://"+address+"/v1/tickets", ticket, &answer)
+			cancel()
+			if err == nil && answer.Ticket != nil && answer.Ticket.Accepted {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -41,7 +41,7 @@
 	RefusedDeadline   = "deadline"
 	RefusedDraining   = "draining"
 	RefusedRevoked    = "revoked"
-	RefusedHeld       = "held"
+	RefusedHeld       = "request-held"
 	RefusedDuplicate  = "duplicate-attempt"
 	RefusedNotServing = "not-serving"
 	RefusedStale      = "stale-token"
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -278,7 +278,7 @@
 	m.previous = m.attempt
 	m.foreign = false
 	m.lastKind, m.lastText = kind, message
-	if kind == "deadline" || kind == "held" {
+	if kind == "deadline" || kind == "request-held" {
 		m.finish(NotRun, kind, message)
 		return
 	}
--- a/internal/faker/serve.go
+++ b/internal/faker/serve.go
@@ -186,6 +186,7 @@
 	crashed := e.begin(r)
 	defer e.end()
 	body, _ := io.ReadAll(r.Body)
+	e.log.Info("call started", "request", r.Header.Get("X-Request-Id"), "attempt", r.Header.Get("X-Attempt-Id"), "body", string(body))
 	if strings.Contains(string(body), CrashWord) {
 		e.Crash()
 	}
