--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -55,7 +55,11 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, errors.Wrapf(err, "create the data folder; check the rights on %s", filepath.Dir(folder))
 	}
-	db, err := bbolt.Open(filepath.Join(folder, fileName), fileMode, &bbolt.Options{Timeout: lockTimeout})
+	file := filepath.Join(folder, fileName)
+	if err := checkSize(file); err != nil {
+		return nil, err
+	}
+	db, err := bbolt.Open(file, fileMode, &bbolt.Options{Timeout: lockTimeout})
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "open the journal"), ErrDamaged)
 	}
@@ -71,6 +75,26 @@
 	return j, errors.Wrap(err, "prepare the journal; check that the disk has room")
 }
 
+// checkSize finds a file that was cut short before its missing pages are
+// touched: the newest sound meta page tells how long the file must be.
+func checkSize(file string) error {
+	info, err := os.Stat(file)
+	if err != nil {
+		return nil
+	}
+	db, err := bbolt.Open(file, fileMode, &bbolt.Options{Timeout: lockTimeout, ReadOnly: true})
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "open the journal"), ErrDamaged)
+	}
+	defer func() { _ = db.Close() }()
+	return db.View(func(tx *bbolt.Tx) error {
+		if tx.Size() <= info.Size() {
+			return nil
+		}
+		return errors.Mark(errors.Newf("the journal is cut short: %d of %d bytes", info.Size(), tx.Size()), ErrDamaged)
+	})
+}
+
 // Close releases the file.
 func (j *Journal) Close() error { return errors.Wrap(j.db.Close(), "close the journal") }
 
@@ -113,9 +137,13 @@
 }
 
 // Load returns the durable state.
-func (j *Journal) Load() (replicator.State, error) {
-	var state replicator.State
-	err := j.db.View(func(tx *bbolt.Tx) error {
+func (j *Journal) Load() (state replicator.State, err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = errors.Mark(errors.Newf("read the journal: %v", fault), ErrDamaged)
+		}
+	}()
+	err = j.db.View(func(tx *bbolt.Tx) error {
 		if err := getJSON(tx.Bucket(bucketState), keyVote, &state.Vote); err != nil {
 			return err
 		}
