--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -214,7 +214,7 @@
 		status := entry.status
 		age := now.Sub(entry.at)
 		report.Processes = append(report.Processes, messenger.ProcessState{
-			Instance: name, Role: status.Role, FailureDomain: status.FailureDomain, AgeMs: int(age / time.Millisecond),
+			Instance: name, Address: status.Address, Role: status.Role, FailureDomain: status.FailureDomain, AgeMs: int(age / time.Millisecond),
 			Applied: status.Applied, Behind: status.Applied < report.Index, Leaving: status.Leaving,
 			Group: status.Group, Epoch: status.Epoch, EndpointUp: status.EndpointUp,
 		})
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -671,6 +671,9 @@
 
 // One process in the status report.
 type ProcessState struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address,omitempty,omitzero"`
+
 	// AgeMs corresponds to the JSON schema field "age-ms".
 	AgeMs int `json:"age-ms,omitempty,omitzero"`
 
--- a/internal/transporter/server.go
+++ b/internal/transporter/server.go
@@ -31,7 +31,7 @@
 // Run serves until the context ends, then closes all connections.
 func (s *Server) Run(ctx context.Context) error {
 	ended := make(chan error, 1)
-	go func() { ended <- s.server.Serve(s.listener) }()
+	go func() { ended <- s.server.Serve(countedListener{s.listener}) }()
 	select {
 	case <-ctx.Done():
 		_ = s.server.Close()
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -61,7 +61,7 @@
 
 func newTransport(keepAlive bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dialCounted,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableKeepAlives:   !keepAlive,
