--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -89,6 +89,7 @@
 	ordered  order
 	lead     *leadership
 	running  int
+	alone    bool
 	leaving  bool
 	leaveAt  time.Duration
 	effects  []Effect
@@ -132,6 +133,7 @@
 	case LeaveMsg:
 		m.leave(now)
 	case TickMsg:
+		m.alone = msg.Alone
 	}
 	m.stepLeader(now)
 	m.stepMember(now)
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -101,7 +101,7 @@
 		}
 	}
 	w.epoch++
-	spec := messenger.GroupSpec{Model: "m", Version: "v", Epoch: w.epoch, Active: true}
+	spec := messenger.GroupSpec{Model: "m", Version: "v", Epoch: w.epoch, Active: true, MayLoad: true}
 	for _, i := range members {
 		spec.Members = append(spec.Members, messenger.Member{Instance: w.nodes[i].name, Address: w.nodes[i].name})
 	}
--- a/internal/granter/member.go
+++ b/internal/granter/member.go
@@ -47,11 +47,15 @@
 	m.issue(now, order{epoch: m.endpoint.FencingNumber}, messenger.Order{Action: "unload", FencingNumber: m.endpoint.FencingNumber})
 }
 
+// orderLoad orders the endpoint to take its part. Weights are fetched only with
+// control's permission, which keeps the load on the weight store in bounds; an
+// instance that control can not reach does without.
 func (m *Machine) orderLoad(now time.Duration) {
-	if !m.endpoint.Up || m.fit(m.held) {
+	spec := m.held.Spec
+	mayLoad := spec.MayLoad || m.alone || m.endpoint.Loaded == LoadName(m.held)
+	if !m.endpoint.Up || m.fit(m.held) || !mayLoad {
 		return
 	}
-	spec := m.held.Spec
 	m.issue(now, order{epoch: spec.Epoch, loaded: LoadName(m.held)}, messenger.Order{
 		Action: "load", Group: m.held.Group, Model: spec.Model, Version: spec.Version, Adapters: spec.Adapters,
 		Rank: m.held.Rank, Size: len(spec.Members), FencingNumber: spec.Epoch, LoadMs: spec.LoadMs,
--- a/internal/granter/messages.go
+++ b/internal/granter/messages.go
@@ -30,7 +30,9 @@
 type LeaveMsg struct{}
 
 // TickMsg tells that time has passed.
-type TickMsg struct{}
+type TickMsg struct {
+	Alone bool // Alone means that control was not heard for long.
+}
 
 func (ConfigMsg) granterMsg()   {}
 func (EndpointMsg) granterMsg() {}
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -406,6 +406,9 @@
 	// LoadMs corresponds to the JSON schema field "load-ms".
 	LoadMs int `json:"load-ms,omitempty,omitzero"`
 
+	// MayLoad corresponds to the JSON schema field "may-load".
+	MayLoad bool `json:"may-load,omitempty,omitzero"`
+
 	// Members corresponds to the JSON schema field "members".
 	Members []Member `json:"members,omitempty,omitzero"`
 
--- a/internal/planner/lifecycle.go
+++ b/internal/planner/lifecycle.go
@@ -85,6 +85,7 @@
 		standby := member(instance)
 		standby.Rank = rank
 		next.Standbys = append(next.Standbys, standby)
+		next.MayLoad = true
 		r.loads++
 	}
 	if !slices.Equal(next.Standbys, group.Standbys) {
@@ -176,5 +177,6 @@
 			next.Members = append(next.Members, member(instance))
 		}
 	}
+	next.MayLoad = true
 	r.assign(name, next)
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -90,6 +90,7 @@
 	for _, name := range order {
 		r.repair(name)
 	}
+	r.permitLoads(order)
 	r.create()
 	for _, name := range order {
 		r.replaceAhead(name)
@@ -125,26 +126,32 @@
 	}
 }
 
-// loadsRunning counts the members that still load for their group.
+// loadsRunning counts the members that load now.
 func (r *round) loadsRunning() int {
 	n := 0
 	for _, group := range r.groups {
-		if !group.Active || group.Model == "" {
-			continue
-		}
-		for rank, member := range group.Members {
-			n += r.needsLoad(group, member, rank)
-		}
-		for _, member := range group.Standbys {
-			n += r.needsLoad(group, member, member.Rank)
+		if group.Active && group.MayLoad {
+			n += r.loadsNeeded(group)
 		}
 	}
 	return n
 }
 
+// loadsNeeded counts the members and standbys of a group that lack weights.
+func (r *round) loadsNeeded(group messenger.GroupSpec) int {
+	n := 0
+	for rank, member := range group.Members {
+		n += r.needsLoad(group, member, rank)
+	}
+	for _, member := range group.Standbys {
+		n += r.needsLoad(group, member, member.Rank)
+	}
+	return n
+}
+
 func (r *round) needsLoad(group messenger.GroupSpec, member messenger.Member, rank int) int {
 	instance, ok := r.instances[member.Instance]
-	if !ok || !r.usable(instance) || instance.Loaded == LoadedName(group.Model, group.Version, rank) {
+	if group.Model == "" || !ok || !r.usable(instance) || instance.Loaded == LoadedName(group.Model, group.Version, rank) {
 		return 0
 	}
 	return 1
--- a/internal/planner/repair.go
+++ b/internal/planner/repair.go
@@ -47,7 +47,7 @@
 		next.Members[rank] = member(instance)
 	}
 	next.Standbys = slices.DeleteFunc(slices.Clone(group.Standbys), func(m messenger.Member) bool { return taken[m.Instance] })
-	if !r.withinLoads(next) {
+	if !r.withinLoads(&next) {
 		return true
 	}
 	r.assign(name, next)
@@ -71,18 +71,43 @@
 
 // withinLoads reserves the loads of a group's next epoch at the weight store.
 // One that needs a single load always passes, since it completes a group.
-func (r *round) withinLoads(group messenger.GroupSpec) bool {
-	n := 0
-	for rank, m := range group.Members {
-		n += r.needsLoad(group, m, rank)
-	}
+func (r *round) withinLoads(group *messenger.GroupSpec) bool {
+	n := r.loadsNeeded(*group)
 	if n > 1 && r.loads > 0 && r.loads+n > r.options.maxLoads {
 		return false
 	}
 	r.loads += n
+	group.MayLoad = true
 	return true
 }
 
+// permitLoads lets groups load whose members have lost their weights, the
+// groups that need the fewest loads first, and takes the permission back when
+// all is loaded, so that a domain that returns does not load all at once.
+func (r *round) permitLoads(order []string) {
+	order = slices.Clone(order)
+	slices.SortStableFunc(order, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(r.models[r.groups[b].Model].Priority, r.models[r.groups[a].Model].Priority),
+			cmp.Compare(r.loadsNeeded(r.groups[a]), r.loadsNeeded(r.groups[b])),
+		)
+	})
+	for _, name := range order {
+		group := r.groups[name]
+		if r.moved[name] || !group.Active {
+			continue
+		}
+		needed := r.loadsNeeded(group)
+		switch {
+		case group.MayLoad && needed == 0 && r.msg.Ready[name] == group.Epoch:
+			group.MayLoad = false
+			r.assign(name, group)
+		case !group.MayLoad && needed > 0 && r.withinLoads(&group):
+			r.assign(name, group)
+		}
+	}
+}
+
 // move gives a broken group a whole new set of members in the fabric domain
 // with the most free instances.
 func (r *round) move(name string, group messenger.GroupSpec) bool {
@@ -90,7 +115,7 @@
 	if !ok {
 		return false
 	}
-	if r.withinLoads(next) {
+	if r.withinLoads(&next) {
 		r.assign(name, next)
 	}
 	return true
@@ -129,7 +154,7 @@
 		spec := r.models[want.model]
 		group := groupOf(want.model, spec)
 		next, ok := r.place(group, spec.Members)
-		if ok && r.withinLoads(next) {
+		if ok && r.withinLoads(&next) {
 			r.assign(want.name, next)
 		}
 	}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -40,6 +40,7 @@
 	probeTimeout    = 500 * time.Millisecond
 	heartbeatEvery  = time.Second
 	maxAnswerBytes  = 16 << 20
+	aloneAfter      = 5 * time.Second
 	effectQueue     = 1024
 	endedQueue      = 1024
 )
@@ -161,7 +162,8 @@
 		s.update(granter.EndpointMsg{})
 		s.announced = messenger.Announcement{}
 	}
-	s.update(granter.TickMsg{})
+	age, heard := s.syncer.Age()
+	s.update(granter.TickMsg{Alone: heard && age > aloneAfter})
 	s.admit(admitter.TickMsg{})
 	s.startWaiting()
 }
