--- a/e2e/forward_test.go
+++ b/e2e/forward_test.go
@@ -21,7 +21,7 @@
 	opened []net.Conn
 }
 
-func newForward(t *testing.T, target string) *forward {
+func newForward(t testing.TB, target string) *forward {
 	listener, err := net.Listen("tcp", freeAddress(t))
 	assert.NilError(t, err)
 	f := &forward{address: listener.Addr().String(), target: target, listener: listener}
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -53,7 +53,7 @@
 
 // freeAddress returns an unused address outside of the range from which the
 // system draws ports for outgoing connections.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	for {
 		port := 10_000 + (int64(os.Getpid())%40*500+lastPort.Add(1))%20_000
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
@@ -76,7 +76,7 @@
 
 // system is a whole deployment in small.
 type system struct {
-	t         *testing.T
+	t         testing.TB
 	folder    string
 	places    []string
 	peers     string
@@ -111,7 +111,7 @@
 
 // start starts a deployment: three control processes, two entries, and the
 // given number of instances in one fabric domain.
-func start(t *testing.T, d deployment) *system {
+func start(t testing.TB, d deployment) *system {
 	s := &system{
 		t: t, folder: t.TempDir(), places: d.places, processes: map[string]*process{},
 		endpoints: map[string]string{}, sides: map[string]string{}, forwards: map[string]*forward{},
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,118 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"papayaseam/internal/messenger"
+
+	"gotest.tools/v3/assert"
+)
+
+// groups returns n groups spread over three failure domains of one region.
+func groups(n int) []Group {
+	var list []Group
+	for i := range n {
+		list = append(list, Group{Name: fmt.Sprintf("g%d", i), Spec: messenger.GroupSpec{
+			Model: "m", Epoch: 5, Active: true, Region: "r", FailureDomain: fmt.Sprintf("d%d", i%3),
+			Members: []messenger.Member{{Instance: fmt.Sprintf("i%d", i), Address: fmt.Sprintf("a%d", i)}},
+		}})
+	}
+	return list
+}
+
+func report(i, running int) messenger.GroupLoad {
+	return messenger.GroupLoad{Group: fmt.Sprintf("g%d", i), Epoch: 5, Ready: true, Running: running, Parallel: 8, FirstTokenMs: 100, ServiceMs: 1000, Incarnation: "x.1"}
+}
+
+func fixture(n int, opts ...Option) *Router {
+	r := New(append([]Option{WithPlace("r", "d0"), WithSeed(1)}, opts...)...)
+	r.Update(0, GroupsMsg{Groups: groups(n)})
+	for i := range n {
+		r.Update(0, LoadsMsg{Loads: []messenger.GroupLoad{report(i, 0)}})
+	}
+	return r
+}
+
+func TestOwnFailureDomainComesFirst(t *testing.T) {
+	r := fixture(3)
+	for range 20 {
+		choice, ok := r.Choose(0, Query{Model: "m"})
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Group, "g0")
+	}
+}
+
+func TestFullDomainSpillsOver(t *testing.T) {
+	r := fixture(3)
+	r.Update(time.Second, LoadsMsg{Loads: []messenger.GroupLoad{report(0, 8)}})
+	choice, _ := r.Choose(time.Second, Query{Model: "m"})
+	assert.Assert(t, choice.Group != "g0")
+}
+
+func TestGroupIsNotChosen(t *testing.T) {
+	for name, change := range map[string]func(r *Router){
+		"of another epoch": func(r *Router) {
+			load := report(0, 0)
+			load.Epoch = 6
+			r.Update(time.Second, LoadsMsg{Loads: []messenger.GroupLoad{load}})
+		},
+		"not ready": func(r *Router) {
+			load := report(0, 0)
+			load.Ready = false
+			r.Update(time.Second, LoadsMsg{Loads: []messenger.GroupLoad{load}})
+		},
+		"draining": func(r *Router) {
+			load := report(0, 0)
+			load.Draining = true
+			r.Update(time.Second, LoadsMsg{Loads: []messenger.GroupLoad{load}})
+		},
+		"just refused": func(r *Router) { r.Update(time.Second, RefusedMsg{Group: "g0"}) },
+		"retired":      func(r *Router) { r.Update(time.Second, GroupsMsg{}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := fixture(1)
+			change(r)
+			_, ok := r.Choose(time.Second, Query{Model: "m"})
+			assert.Assert(t, !ok)
+		})
+	}
+}
+
+func TestOldReportIsNotUsed(t *testing.T) {
+	r := fixture(1)
+	_, ok := r.Choose(time.Minute, Query{Model: "m"})
+	assert.Assert(t, !ok)
+}
+
+func TestOlderReportDoesNotReplaceANewerOne(t *testing.T) {
+	r := fixture(1)
+	late := report(0, 8)
+	late.AgeMs = 5000
+	r.Update(time.Second, LoadsMsg{Loads: []messenger.GroupLoad{report(0, 2)}})
+	r.Update(2*time.Second, LoadsMsg{Loads: []messenger.GroupLoad{late}})
+	assert.Equal(t, r.hints["g0"].load.Running, 2)
+}
+
+func TestOwnAttemptsCountUntilTheNextReport(t *testing.T) {
+	r := fixture(1)
+	for range 8 {
+		r.Update(0, SentMsg{Group: "g0"})
+	}
+	assert.Assert(t, !r.hasRoom(r.groups[0]))
+	r.Update(time.Second, LoadsMsg{Loads: []messenger.GroupLoad{report(0, 3)}})
+	assert.Assert(t, r.hasRoom(r.groups[0]))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{13, 26, 53, 106} {
+		b.Run(fmt.Sprintf("groups-%d", n), func(b *testing.B) {
+			r := fixture(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Choose(0, Query{Model: "m"})
+			}
+		})
+	}
+}
