Burn report of service levels; load in the capacity measurement

Cause: the offices count service per request answered whole within the promised time, group downtime and stranded accelerators; nothing showed them. Ruled out: sums from /metrics, which lose history at each scrape gap and need one clock; minutes are told by their age instead.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -28,6 +28,8 @@
 			&cli.IntFlag{Name: "controls", Value: 3, Usage: "number of control processes"},
 			&cli.IntFlag{Name: "members", Value: 16, Usage: "instances in a group"},
 			&cli.DurationFlag{Name: "window", Value: 20 * time.Second, Usage: "how long the idle system is watched"},
+			&cli.IntFlag{Name: "streams", Usage: "answers that stream while the system is watched"},
+			&cli.BoolFlag{Name: "fail", Usage: "kill the control leader right before the tickets"},
 			&cli.IntFlag{Name: "tickets", Value: 10, Usage: "tickets to time"},
 		},
 		Action: measure,
@@ -43,6 +45,7 @@
 		result, err := measurer.Run(ctx, measurer.Size{
 			Controls: c.Int("controls"), Entries: c.Int("entries"), Sides: sides, Members: c.Int("members"),
 			Window: c.Duration("window"), Tickets: c.Int("tickets"),
+			Streams: c.Int("streams"), Fail: c.Bool("fail"),
 		}, c.String("program"))
 		if err != nil {
 			return err
@@ -59,7 +62,14 @@
 		fmt.Printf("%-15s %5d %12.0f %12.0f %8.2f%% %8.2f%% %9.1f %9.1f\n", role.Name, role.Processes, role.Mean.BytesPerSecond, role.Most.BytesPerSecond,
 			role.Mean.CorePercent, role.Most.CorePercent, role.Mean.MemoryMB, role.Most.MemoryMB)
 	}
+	if r.Load.Streams > 0 {
+		fmt.Printf("%d streams: %d whole answers, %d failed, %.0f tokens/s; first token within %v, between tokens %v for 95 in 100\n", r.Load.Streams,
+			r.Load.Answers, r.Load.Failures, r.Load.TokensPerSec, r.Load.FirstP95.Round(time.Millisecond), r.Load.BetweenP95.Round(10*time.Microsecond))
+	}
 	n := len(r.InForceAfter)
+	if n == 0 {
+		return
+	}
 	fmt.Printf("ticket accepted: median %v, most %v; in force everywhere: median %v, most %v; claims %.0f/s\n\n",
 		r.AcceptedAfter[n/2], r.AcceptedAfter[n-1], r.InForceAfter[n/2], r.InForceAfter[n-1], r.ClaimsPerSec)
 }
--- a/e2e/forward_test.go
+++ b/e2e/forward_test.go
@@ -102,4 +102,3 @@
 		_ = conn.Close()
 	}
 }
-
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -457,7 +457,7 @@
 func (s *system) acceptDirect(number int, d deployment) {
 	s.t.Helper()
 	ticket := messenger.Ticket{Number: number, Author: "hana", Reason: "many", Objects: []messenger.Object{{
-		Kind: "objective", Name: "verses", Objective: &messenger.ObjectiveSpec{Target: d.model, PromisedMs: number, Percent: 99},
+		Kind: "objective", Name: "verses", Objective: &messenger.ObjectiveSpec{Measure: "requests", Target: d.model, PromisedMs: number, Percent: 99},
 	}}}
 	s.until("a ticket is accepted", func() bool {
 		for _, address := range s.controls {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 	"papayaseam/internal/journaler"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/planner"
+	"papayaseam/internal/recorder"
 	"papayaseam/internal/registrar"
 	"papayaseam/internal/replicator"
 	"papayaseam/internal/transporter"
@@ -93,6 +94,8 @@
 	inbox   chan any
 	peers   map[string]chan messenger.ReplicaMessage
 	ended   chan string
+	burn    *recorder.Recorder
+	began   time.Time
 
 	nextID    uint64
 	proposals map[uint64]chan result
@@ -107,6 +110,7 @@
 	leader     string
 	leading    bool
 	leadSince  time.Time
+	lastPlan   time.Time
 	clockStart time.Time
 	voters     []string
 	term       int
@@ -122,6 +126,7 @@
 		cfg: cfg, log: logger, client: transporter.NewClient(), journal: journal,
 		planner: planner.New(cfg.Planner...), inbox: make(chan any, inboxSize),
 		peers: map[string]chan messenger.ReplicaMessage{}, ended: make(chan string, peerQueue),
+		burn: recorder.New(), began: time.Now(),
 		proposals: map[uint64]chan result{}, waiters: map[int]waiter{},
 		registrar: registrar.New(), changed: make(chan struct{}), present: presences{}, clockStart: time.Now(),
 	}, nil
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -6,6 +6,7 @@
 
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/planner"
+	"papayaseam/internal/recorder"
 	"papayaseam/internal/registrar"
 )
 
@@ -16,7 +17,9 @@
 		c.mu.Unlock()
 		return
 	}
-	assignments := c.planner.Update(c.view())
+	view := c.view()
+	assignments := c.planner.Update(view)
+	c.judge(view)
 	c.mu.Unlock()
 	for _, assignment := range assignments {
 		answer := c.command(ctx, messenger.Command{Kind: registrar.CommandAssign, Assignment: &assignment})
@@ -33,6 +36,66 @@
 	return names
 }
 
+// judge counts group downtime and stranded accelerators since the last plan for
+// the objectives that are about them; mu is held.
+func (c *Controller) judge(view planner.ViewMsg) {
+	since := min(time.Since(c.lastPlan), 2*planEvery)
+	c.lastPlan = time.Now()
+	ms := float64(since / time.Millisecond)
+	for _, object := range c.registrar.Objects(registrar.KindObjective) {
+		o := object.Objective
+		var total, bad int
+		switch o.Measure {
+		case recorder.MeasureDowntime:
+			total, bad = wantedGroups(view, o.Target)
+		case recorder.MeasureStranded:
+			total, bad = strandedAccelerators(view)
+		default:
+			continue
+		}
+		c.burn.Note(time.Since(c.began), recorder.Series{Measure: o.Measure, Target: o.Target, Percent: o.Percent}, float64(total)*ms, float64(bad)*ms)
+	}
+}
+
+// wantedGroups counts the declared groups of a model and those that do not
+// serve.
+func wantedGroups(view planner.ViewMsg, model string) (wanted, down int) {
+	for _, object := range view.Models {
+		if object.Name == model {
+			wanted = object.Model.Groups
+		}
+	}
+	serving := 0
+	for _, object := range view.Groups {
+		if object.Group.Active && object.Group.Model == model && view.Ready[object.Name] == object.Group.Epoch {
+			serving++
+		}
+	}
+	return wanted, max(0, wanted-serving)
+}
+
+// strandedAccelerators counts the engines that are up and those that idle
+// because their group does not serve.
+func strandedAccelerators(view planner.ViewMsg) (up, stranded int) {
+	fit := map[string]bool{}
+	for _, instance := range view.Instances {
+		if instance.ModelEngine && instance.EndpointUp && time.Duration(instance.SilentMs)*time.Millisecond < aliveFor {
+			fit[instance.Name] = true
+		}
+	}
+	for _, object := range view.Groups {
+		if !object.Group.Active || view.Ready[object.Name] == object.Group.Epoch {
+			continue
+		}
+		for _, m := range object.Group.Members {
+			if fit[m.Instance] {
+				stranded++
+			}
+		}
+	}
+	return len(fit), stranded
+}
+
 // view builds the planner's view; mu is held.
 func (c *Controller) view() planner.ViewMsg {
 	now := time.Now()
--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -26,6 +26,9 @@
 	mux.HandleFunc("GET /v1/tickets/{number}", c.showTicket)
 	mux.HandleFunc("GET /v1/objects", c.listObjects)
 	mux.HandleFunc("GET /v1/status", c.showStatus)
+	mux.HandleFunc("GET /v1/burn", func(w http.ResponseWriter, _ *http.Request) {
+		transporter.Write(w, http.StatusOK, c.burn.History(time.Since(c.began), c.cfg.Name))
+	})
 }
 
 // sync notes a process's status and answers with what it lacks, at once when
--- a/internal/declarer/ticket.go
+++ b/internal/declarer/ticket.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/recorder"
 	"papayaseam/internal/registrar"
 )
 
@@ -111,8 +112,12 @@
 }
 
 func (f *File) objective(section string) *messenger.ObjectiveSpec {
+	measure := f.Text(section, "measure", recorder.MeasureRequests)
+	if !slices.Contains([]string{recorder.MeasureRequests, recorder.MeasureDowntime, recorder.MeasureStranded}, measure) {
+		f.Fail(section, "measure", "no measure %q; use requests, group-downtime or stranded", measure)
+	}
 	return &messenger.ObjectiveSpec{
-		Target: f.Needed(section, "target"), Organisation: f.Text(section, "organisation", ""),
+		Measure: measure, Target: f.Needed(section, "target"), Organisation: f.Text(section, "organisation", ""),
 		PromisedMs: f.Int(section, "promised-ms", 0, 0, maxLoadMs), Percent: f.Number(section, "percent", 99, 50, 99.999),
 	}
 }
@@ -135,7 +140,7 @@
 		line("[organisation %s]\nweight = %d\nparallel = %d\nkeys-sha256 = %s", object.Name, object.Organisation.Weight,
 			object.Organisation.Parallel, strings.Join(object.Organisation.Keys, ", "))
 	case object.Objective != nil:
-		line("[objective %s]\ntarget = %s\norganisation = %s\npromised-ms = %d\npercent = %g", object.Name, object.Objective.Target,
+		line("[objective %s]\nmeasure = %s\ntarget = %s\norganisation = %s\npromised-ms = %d\npercent = %g", object.Name, object.Objective.Measure, object.Objective.Target,
 			object.Objective.Organisation, object.Objective.PromisedMs, object.Objective.Percent)
 	}
 	return b.String()
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -316,6 +316,7 @@
 	}
 	x.count(x.call, outcome)
 	x.measure()
+	x.judge(finish)
 	x.log.Info("request ended", "request", x.call.id, "attempt", x.machine.Attempt(), "organisation", x.call.organisation,
 		"verdict", finish.Verdict, "kind", finish.Kind, "tries", x.machine.Tries(), "took", (x.now() - x.call.began).Round(time.Millisecond))
 	if finish.Verdict == dispatcher.Answered {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 
 	"papayaseam/internal/exposer"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/recorder"
 	"papayaseam/internal/registrar"
 	"papayaseam/internal/retrier"
 	"papayaseam/internal/router"
@@ -66,6 +67,7 @@
 	client *transporter.Client
 	syncer *syncer.Syncer
 	began  time.Time
+	burn   *recorder.Recorder
 
 	mu       sync.Mutex
 	router   *router.Router
@@ -77,7 +79,7 @@
 // New returns an entry process; Run starts it.
 func New(cfg Config, logger *log.Logger, health *exposer.Health) *Forwarder {
 	f := &Forwarder{
-		cfg: cfg, log: logger, health: health, client: transporter.NewClient(), began: time.Now(),
+		cfg: cfg, log: logger, health: health, client: transporter.NewClient(), began: time.Now(), burn: recorder.New(),
 		router: router.New(router.WithPlace(cfg.Region, cfg.FailureDomain), router.WithSeed(cfg.Seed)),
 		budget: retrier.New(retryRatio, retryMost),
 	}
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -42,6 +42,8 @@
 	pollEvery    = 100 * time.Millisecond
 	forceEvery   = 20 * time.Millisecond
 	forceLimit   = 30 * time.Second
+	firstToken   = 50 * time.Millisecond
+	tokenStep    = 34 * time.Millisecond
 	commandLimit = 5 * time.Second
 )
 
@@ -53,6 +55,8 @@
 	Members  int           // Members is the number of instances in a group.
 	Window   time.Duration // Window is how long the idle system is watched.
 	Tickets  int           // Tickets is how many tickets are timed.
+	Streams  int           // Streams is how many answers stream while the system is watched.
+	Fail     bool          // Fail kills the control leader right before the tickets.
 }
 
 // Usage is what one process spent.
@@ -78,6 +82,7 @@
 	AcceptedAfter []time.Duration // AcceptedAfter are the times until a ticket was accepted, sorted.
 	InForceAfter  []time.Duration // InForceAfter are the times until it was in force everywhere, sorted.
 	ClaimsPerSec  float64
+	Load          Load
 }
 
 // process is one started process.
@@ -95,6 +100,7 @@
 	port      int
 	peers     string
 	controls  []string
+	apis      []string
 	processes []*process
 	client    *transporter.Client
 	ended     chan error
@@ -178,6 +184,7 @@
 		if err != nil {
 			return err
 		}
+		s.apis = append(s.apis, api)
 		if err := s.launch(ctx, "entry", fmt.Sprintf("entry-%d", i+1), inner, i, fmt.Sprintf("[entry]\nlisten = %s\n", api)); err != nil {
 			return err
 		}
@@ -196,7 +203,7 @@
 		return err
 	}
 	name := fmt.Sprintf("instance-%d", i+1)
-	endpoint := faker.New(faker.Config{Name: name, Address: address, Side: side, Parallel: 64, Step: 34 * time.Millisecond}, exposer.NewLogger(io.Discard, name))
+	endpoint := faker.New(faker.Config{Name: name, Address: address, Side: side, Parallel: 128, FirstToken: firstToken, Step: tokenStep}, exposer.NewLogger(io.Discard, name))
 	mux := http.NewServeMux()
 	endpoint.Register(mux)
 	server, err := transporter.Listen(address, mux)
@@ -237,12 +244,17 @@
 		return result, err
 	}
 	result.ServingAfter = time.Since(began)
+	load := s.startLoad(ctx)
 	time.Sleep(settle)
 	roles, err := s.watch(ctx)
+	result.Load = load.stop()
 	if err != nil {
 		return result, err
 	}
 	result.Roles = roles
+	if s.size.Fail {
+		s.killLeader()
+	}
 	for number := 2; number < 2+s.size.Tickets; number++ {
 		accepted, inForce, err := s.timeTicket(ctx, number)
 		if err != nil {
@@ -253,6 +265,9 @@
 	}
 	slices.Sort(result.AcceptedAfter)
 	slices.Sort(result.InForceAfter)
+	if s.size.Fail {
+		return result, nil
+	}
 	result.ClaimsPerSec, err = s.claims(ctx)
 	return result, err
 }
@@ -260,7 +275,7 @@
 func (s *system) ticket(number, groups int) messenger.Ticket {
 	sum := sha256.Sum256([]byte("key"))
 	return messenger.Ticket{Number: number, Author: "capacity", Reason: "measurement", Objects: []messenger.Object{
-		{Kind: "model", Name: "m", Model: &messenger.ModelSpec{Version: "v1", Members: s.size.Members, Groups: groups, Parallel: 64, LoadMs: 100}},
+		{Kind: "model", Name: "m", Model: &messenger.ModelSpec{Version: "v1", Members: s.size.Members, Groups: groups, Parallel: 128, LoadMs: 100}},
 		{Kind: "organisation", Name: "o", Organisation: &messenger.OrganisationSpec{Weight: number, Keys: []string{hex.EncodeToString(sum[:])}}},
 	}}
 }
@@ -286,7 +301,7 @@
 func (s *system) awaitServing(ctx context.Context, groups int) error {
 	for limit := time.Now().Add(serveLimit); time.Now().Before(limit); time.Sleep(pollEvery) {
 		var report messenger.StatusReport
-		if s.client.Get(ctx, "http://"+s.controls[0]+"/v1/status", &report) != nil {
+		if s.get(ctx, "/v1/status", &report) != nil {
 			continue
 		}
 		serving := 0
@@ -302,6 +317,29 @@
 	return errors.Newf("the %d groups did not all serve in time", groups)
 }
 
+// get reads from the first control process that answers.
+func (s *system) get(ctx context.Context, path string, out any) error {
+	err := errors.New("no control process answered")
+	for _, address := range s.controls {
+		call, cancel := context.WithTimeout(ctx, commandLimit)
+		err = s.client.Get(call, "http://"+address+path, out)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// killLeader ends the control leader without warning.
+func (s *system) killLeader() {
+	for _, p := range s.processes {
+		if p.role == "control" && strings.HasSuffix(s.report.Leader, "@"+p.address) {
+			_ = p.cmd.Process.Kill()
+		}
+	}
+}
+
 // timeTicket times one change until it is accepted, and until every process has
 // acknowledged it.
 func (s *system) timeTicket(ctx context.Context, number int) (accepted, inForce time.Duration, err error) {
@@ -309,7 +347,7 @@
 	accepted, err = s.submit(ctx, s.ticket(number, s.size.Sides/s.size.Members))
 	for err == nil && time.Since(began) < forceLimit {
 		var state messenger.TicketState
-		if s.client.Get(ctx, fmt.Sprintf("http://%s/v1/tickets/%d", s.controls[0], number), &state) == nil && state.InForce {
+		if s.get(ctx, fmt.Sprintf("/v1/tickets/%d", number), &state) == nil && state.InForce {
 			return accepted, time.Since(began), nil
 		}
 		time.Sleep(forceEvery)
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -128,6 +128,48 @@
 	Suspect bool `json:"suspect,omitempty,omitzero"`
 }
 
+// What was counted in one minute.
+type BurnBucket struct {
+	// AgeMinutes corresponds to the JSON schema field "age-minutes".
+	AgeMinutes int `json:"age-minutes,omitempty,omitzero"`
+
+	// Bad corresponds to the JSON schema field "bad".
+	Bad float64 `json:"bad,omitempty,omitzero"`
+
+	// Total corresponds to the JSON schema field "total".
+	Total float64 `json:"total,omitempty,omitzero"`
+}
+
+// All that one process counted for the burn report.
+type BurnHistory struct {
+	// Process corresponds to the JSON schema field "process".
+	Process string `json:"process,omitempty,omitzero"`
+
+	// Series corresponds to the JSON schema field "series".
+	Series []BurnSeries `json:"series,omitempty,omitzero"`
+}
+
+// What one process counted for one objective.
+type BurnSeries struct {
+	// Buckets corresponds to the JSON schema field "buckets".
+	Buckets []BurnBucket `json:"buckets,omitempty,omitzero"`
+
+	// Measure corresponds to the JSON schema field "measure".
+	Measure string `json:"measure,omitempty,omitzero"`
+
+	// Organisation corresponds to the JSON schema field "organisation".
+	Organisation string `json:"organisation,omitempty,omitzero"`
+
+	// Percent corresponds to the JSON schema field "percent".
+	Percent float64 `json:"percent,omitempty,omitzero"`
+
+	// PromisedMs corresponds to the JSON schema field "promised-ms".
+	PromisedMs int `json:"promised-ms,omitempty,omitzero"`
+
+	// Target corresponds to the JSON schema field "target".
+	Target string `json:"target,omitempty,omitzero"`
+}
+
 // The holder of a claim after the request was committed.
 type ClaimAnswer struct {
 	// Address corresponds to the JSON schema field "address".
@@ -587,6 +629,9 @@
 
 // A service-level objective.
 type ObjectiveSpec struct {
+	// Measure corresponds to the JSON schema field "measure".
+	Measure string `json:"measure,omitempty,omitzero"`
+
 	// Organisation corresponds to the JSON schema field "organisation".
 	Organisation string `json:"organisation,omitempty,omitzero"`
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -189,6 +189,7 @@
 	}, p.log, p.health)
 	api := http.NewServeMux()
 	entry.RegisterAPI(api)
+	entry.RegisterInner(p.inner)
 	p.health.Register(api)
 	p.drainers = append(p.drainers, entry)
 	p.actor(ctx, entry.Run)
