Routing asks when reports leave it open; fair shares with kept places

Change: where a report is too old to tell whether there is room, an entry asks four leaders and takes the best; a group that cannot be reached is left alone until it reports again; reports count as too old only beside newer ones; waits are estimated by the fair order; an eighth of the places is kept from organisations above twice their share while others are active.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -19,6 +19,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -71,6 +72,7 @@
 	running int
 	virtual float64
 	queue   []*item
+	active  time.Duration // active is until when it counts as active.
 }
 
 // Machine is the admission of one group. It is not safe for concurrent use.
@@ -86,6 +88,7 @@
 	suspects int
 	seq      int
 	virtual  float64
+	weights  int // weights sums those of the active organisations.
 	service  time.Duration
 	closed   string
 	effects  []Effect
@@ -109,6 +112,18 @@
 // Queued returns the number of attempts that wait.
 func (m *Machine) Queued() int { return m.queued }
 
+// Ahead returns the number of waiting attempts that one of an organisation
+// within its share would wait for.
+func (m *Machine) Ahead() int {
+	n := 0
+	for _, s := range m.shares {
+		if s.weight >= m.weights || m.within(s) {
+			n += len(s.queue)
+		}
+	}
+	return n
+}
+
 // Parallel returns how many attempts may run at once.
 func (m *Machine) Parallel() int { return m.parallel }
 
@@ -218,27 +233,29 @@
 	return "", ""
 }
 
-// wait estimates the time until an attempt starts, from its organisation's
-// queue and its share of the group.
+// wait estimates the time until an attempt starts: by how many attempts come
+// before it in the fair order of organisations.
 func (m *Machine) wait(it *item) time.Duration {
 	if m.running+m.queued < m.parallel {
 		return 0
 	}
 	s := m.share(it.Organisation)
-	weights := s.weight
-	for _, other := range m.shares {
-		if other != s && (len(other.queue) > 0 || other.running > 0) {
-			weights += other.weight
-		}
-	}
-	ahead := 1
+	ahead := 0
 	for _, queued := range s.queue {
 		ahead += btoi(before(queued, it))
 	}
-	own := float64(m.parallel) * float64(s.weight) / float64(weights)
-	byShare := float64(m.service) * float64(ahead) / max(own, 1)
-	byTotal := float64(m.service) * float64(m.queued+1) / float64(max(1, m.parallel))
-	return time.Duration(min(byShare, max(byTotal, float64(m.service)/float64(max(1, m.parallel)))))
+	if ahead == 0 && m.running < m.parallel && !m.reserved(s) {
+		return 0
+	}
+	tag := max(s.virtual, m.virtual) + float64(ahead)/float64(s.weight)
+	for _, other := range m.shares {
+		if other == s || (m.within(s) && !m.within(other)) {
+			continue
+		}
+		sooner := int(math.Ceil((tag - other.virtual) * float64(other.weight)))
+		ahead += min(len(other.queue), max(0, sooner))
+	}
+	return m.service * time.Duration(ahead+1) / time.Duration(max(1, m.parallel))
 }
 
 func btoi(b bool) int {
--- a/internal/admitter/options.go
+++ b/internal/admitter/options.go
@@ -8,7 +8,10 @@
 	defaultService   = time.Second
 	defaultRetention = 2 * time.Minute
 
+	activeFor        = 30 * time.Second
 	serviceSmoothing = 8
+	reserveDivisor   = 8
+	shareMultiple    = 2
 )
 
 type options struct {
--- a/internal/admitter/start.go
+++ b/internal/admitter/start.go
@@ -9,6 +9,7 @@
 // organisations. The caller has checked the group's grants.
 func (m *Machine) startNext(now time.Duration) {
 	m.expire(now)
+	m.noteShares(now)
 	for m.running < m.parallel && m.closed == "" {
 		it := m.next()
 		if it == nil {
@@ -24,7 +25,7 @@
 	var best *item
 	var bestShare *share
 	for _, s := range m.shares {
-		if s.limit > 0 && s.running >= s.limit {
+		if s.limit > 0 && s.running >= s.limit || m.reserved(s) {
 			continue
 		}
 		it := m.firstStartable(s)
@@ -38,6 +39,32 @@
 	return best
 }
 
+// noteShares sums the weights of the organisations that were active of late.
+func (m *Machine) noteShares(now time.Duration) {
+	m.weights = 0
+	for _, s := range m.shares {
+		if len(s.queue) > 0 || s.running > 0 {
+			s.active = now + activeFor
+		}
+		if s.active > now {
+			m.weights += s.weight
+		}
+	}
+}
+
+// within reports whether an organisation runs less than a multiple of its
+// share; the shares of many organisations can be less than one place.
+func (m *Machine) within(s *share) bool {
+	return s.running*m.weights < shareMultiple*m.parallel*s.weight
+}
+
+// reserved reports whether the places that are still free are kept for
+// organisations within their share, so that these need not wait for the end of
+// another one's answer.
+func (m *Machine) reserved(s *share) bool {
+	return !m.within(s) && s.weight < m.weights && m.parallel-m.running <= m.parallel/reserveDivisor
+}
+
 // firstStartable skips suspects while another suspect runs, so that a crash
 // never has two suspects.
 func (m *Machine) firstStartable(s *share) *item {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -25,6 +25,7 @@
 	maxLineBytes  = 32 << 20
 	statusGone    = 499
 	finishTimeout = 2 * time.Second
+	askTimeout    = 100 * time.Millisecond
 )
 
 // event is an input of the request's machine from one of its connections. One
@@ -104,9 +105,7 @@
 		case dispatcher.ResumeEffect:
 			x.answer.resume()
 		case dispatcher.RefusedEffect:
-			x.mu.Lock()
-			x.router.Update(x.now(), router.RefusedMsg{Group: effect.Target.Group})
-			x.mu.Unlock()
+			x.noteRefusal(effect)
 		case dispatcher.FinishEffect:
 			x.finish = &effect
 		}
@@ -154,13 +153,7 @@
 		return dispatcher.ChosenMsg{Kind: "retry-budget", Message: "no retry is left in the organisation's budget; retry after a pause"}
 	}
 	for {
-		x.mu.Lock()
-		choice, ok := x.router.Choose(x.now(), query)
-		if ok {
-			x.router.Update(x.now(), router.SentMsg{Group: choice.Group})
-		}
-		x.mu.Unlock()
-		if ok {
+		if choice, ok := x.pick(ctx, query); ok {
 			return dispatcher.ChosenMsg{Target: dispatcher.Target{Group: choice.Group, Address: choice.Address, Epoch: choice.Epoch, Incarnation: choice.Incarnation}}
 		}
 		if x.now() > limit {
@@ -181,6 +174,66 @@
 	return x.budget.Spend(x.call.organisation)
 }
 
+// noteRefusal keeps requests away from a group that does not serve now. One that
+// is only full for this request may well take another one.
+func (x *run) noteRefusal(effect dispatcher.RefusedEffect) {
+	if effect.Kind == "overloaded" || effect.Kind == "deadline" {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.router.Update(x.now(), router.RefusedMsg{Group: effect.Target.Group, Unreachable: effect.Kind == "unreachable"})
+}
+
+// pick chooses a group; where the reports leave it open whether there is room,
+// the leaders of a sample are asked first.
+func (x *run) pick(ctx context.Context, query router.Query) (router.Choice, bool) {
+	x.mu.Lock()
+	choice, sure, ok := x.router.Choose(x.now(), query)
+	sample := x.router.Sample(x.now(), query)
+	x.mu.Unlock()
+	if !ok {
+		return choice, false
+	}
+	if !sure && len(sample) > 1 {
+		choice = x.ask(ctx, query, sample, choice)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.router.Update(x.now(), router.SentMsg{Group: choice.Group})
+	return choice, true
+}
+
+// ask has the leaders of a sample report their load and chooses among them;
+// those that do not answer in time are left out.
+func (x *run) ask(ctx context.Context, query router.Query, sample []router.Choice, fallback router.Choice) router.Choice {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	loads := make(chan messenger.GroupLoad, len(sample))
+	for _, choice := range sample {
+		go func() {
+			var load messenger.GroupLoad
+			_ = x.client.Call(ctx, "http://"+choice.Address+"/inner/load", messenger.LoadRequest{Group: choice.Group}, &load)
+			loads <- load
+		}()
+	}
+	for range sample {
+		load := <-loads
+		if load.Epoch == 0 {
+			continue
+		}
+		x.mu.Lock()
+		x.router.Update(x.now(), router.LoadsMsg{Loads: []messenger.GroupLoad{load}})
+		x.mu.Unlock()
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if best, ok := x.router.Best(x.now(), query, sample); ok {
+		return best
+	}
+	return fallback
+}
+
 func (x *run) claim(ctx context.Context, effect dispatcher.ClaimEffect) dispatcher.Msg {
 	answer, ok := x.command(ctx, messenger.Command{Kind: registrar.CommandClaim, Claim: &effect.Request})
 	if !ok || answer.Claim == nil {
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -530,6 +530,12 @@
 	Replicas []string `json:"replicas,omitempty,omitzero"`
 }
 
+// Asks a group's leader for its load now.
+type LoadRequest struct {
+	// Group corresponds to the JSON schema field "group".
+	Group string `json:"group,omitempty,omitzero"`
+}
+
 // One instance's place in a group; the rank is its position, or the rank that a
 // standby loads.
 type Member struct {
--- a/internal/planner/fleet_test.go
+++ b/internal/planner/fleet_test.go
@@ -208,4 +208,3 @@
 		f.step(f.tickMs)
 	}
 }
-
--- a/internal/router/messages.go
+++ b/internal/router/messages.go
@@ -15,7 +15,10 @@
 type SentMsg struct{ Group string }
 
 // RefusedMsg tells that a group refused or could not be reached.
-type RefusedMsg struct{ Group string }
+type RefusedMsg struct {
+	Group       string
+	Unreachable bool // Unreachable means that the leader did not answer at all.
+}
 
 func (GroupsMsg) routerMsg()  {}
 func (LoadsMsg) routerMsg()   {}
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -2,20 +2,16 @@
 
 import "time"
 
-// Policy names a way to choose among the nearest candidates.
-type Policy string
-
-// The policies.
-const (
-	PolicyTwoChoices Policy = "two-choices"
-	PolicyRandom     Policy = "random"
-)
-
 const (
 	defaultAvoidFor = 300 * time.Millisecond
-	defaultHintLife = 15 * time.Second
+	defaultHintLife = 4 * time.Second
+
+	freshFor   = 50 * time.Millisecond
+	tournament = 2
+	sampleSize = 4
 
-	loadScale = 100
+	sureDeviations = 3
+	loadScale      = 100
 )
 
 // tierMs is the added time in milliseconds by distance.
@@ -25,13 +21,12 @@
 	region        string
 	failureDomain string
 	seed          uint64
-	policy        Policy
 	avoidFor      time.Duration
 	hintLife      time.Duration
 }
 
 func defaults() options {
-	return options{policy: PolicyTwoChoices, avoidFor: defaultAvoidFor, hintLife: defaultHintLife}
+	return options{avoidFor: defaultAvoidFor, hintLife: defaultHintLife}
 }
 
 // Option changes a setting of a Router.
@@ -45,8 +40,6 @@
 // WithSeed sets the seed of the random choices.
 func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
 
-// WithPolicy sets the way to choose.
-func WithPolicy(policy Policy) Option { return func(o *options) { o.policy = policy } }
-
-// WithHintLife sets the age at which a load report no longer counts.
+// WithHintLife sets by how much a load report may be older than the newest one
+// before it no longer counts.
 func WithHintLife(d time.Duration) Option { return func(o *options) { o.hintLife = d } }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,15 +7,18 @@
 //	r := router.New(router.WithPlace("maine", "fd-a"), router.WithSeed(1))
 //	r.Update(now, router.GroupsMsg{Groups: groups})
 //	r.Update(now, router.LoadsMsg{Loads: loads})
-//	choice, ok := r.Choose(now, router.Query{Model: "verse-8b"})
+//	choice, sure, ok := r.Choose(now, router.Query{Model: "verse-8b"})
 //
-// Among the nearest candidates that look fit, two are drawn at random and the
-// one with the shorter expected time to the first token is taken, so that
-// entries that see the same stale report do not all run to one group.
+// Among the nearest candidates that look fit, some are drawn at random and the
+// one with the shortest expected time to the first token is taken, so that
+// entries that see the same stale report do not all run to one group. Where
+// the reports leave it open whether there is room, the leaders of a few
+// candidates are asked first.
 package router
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -52,6 +55,8 @@
 	sent     int           // sent counts this entry's attempts since the report.
 	avoid    time.Duration // avoid is until when a refusal keeps requests away.
 	reported bool
+
+	unreachable bool // unreachable is set until the group reports again.
 }
 
 // Router keeps the hints. It is not safe for concurrent use.
@@ -60,6 +65,7 @@
 	rng     *rand.Rand
 	groups  []Group
 	hints   map[string]*hint
+	newest  time.Duration // newest is when the newest report was measured.
 }
 
 // New returns a router without any group.
@@ -84,7 +90,16 @@
 	case SentMsg:
 		r.hint(msg.Group).sent++
 	case RefusedMsg:
-		r.hint(msg.Group).avoid = now + r.options.avoidFor
+		r.refused(now, msg)
+	}
+}
+
+func (r *Router) refused(now time.Duration, msg RefusedMsg) {
+	h := r.hint(msg.Group)
+	h.avoid = now + r.options.avoidFor
+	if msg.Unreachable {
+		h.unreachable = true
+		h.at = max(h.at, now)
 	}
 }
 
@@ -118,25 +133,86 @@
 	if load.Epoch > h.load.Epoch || load.Ready && !h.load.Ready {
 		h.avoid = 0
 	}
-	h.load, h.at, h.reported, h.sent = load, at, true, 0
+	h.load, h.at, h.reported, h.sent, h.unreachable = load, at, true, 0, false
+	r.newest = max(r.newest, at)
 }
 
-// Choose returns the group for a request, false where none looks fit.
-func (r *Router) Choose(now time.Duration, query Query) (Choice, bool) {
+// Choose returns the group for a request, false where none looks fit. Sure is
+// false where the reports leave open whether the group has room: then the
+// owner should ask the leaders that Sample names, pass on what they report, and
+// choose again among them.
+func (r *Router) Choose(now time.Duration, query Query) (choice Choice, sure, ok bool) {
 	fit := r.candidates(now, query)
 	if len(fit) == 0 {
-		return Choice{}, false
+		return Choice{}, false, false
 	}
 	near := r.nearest(fit)
 	picked := near[r.rng.IntN(len(near))]
-	if r.options.policy != PolicyRandom && len(near) > 1 {
+	for range tournament - 1 {
 		other := near[r.rng.IntN(len(near))]
 		if r.expected(other, query) < r.expected(picked, query) {
 			picked = other
 		}
 	}
-	h := r.hints[picked.Name]
-	return Choice{Group: picked.Name, Address: picked.Spec.Members[0].Address, Epoch: picked.Spec.Epoch, Incarnation: h.load.Incarnation}, true
+	return r.choice(picked), r.sure(now, picked), true
+}
+
+// Sample returns some of the candidates to ask for their load: one of the
+// nearest that look fit, the others drawn at random among all, since a report
+// that shows no room may be as old as one that shows some.
+func (r *Router) Sample(now time.Duration, query Query) []Choice {
+	fit := r.candidates(now, query)
+	if len(fit) == 0 {
+		return nil
+	}
+	near := r.nearest(fit)
+	sample := []Choice{r.choice(near[r.rng.IntN(len(near))])}
+	r.rng.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
+	for _, group := range fit {
+		if len(sample) < sampleSize && group.Name != sample[0].Group {
+			sample = append(sample, r.choice(group))
+		}
+	}
+	return sample
+}
+
+// Best returns the one of some groups with the shortest expected time to the
+// first token, by the newest reports.
+func (r *Router) Best(now time.Duration, query Query, among []Choice) (Choice, bool) {
+	var best *Group
+	for _, group := range r.candidates(now, query) {
+		named := slices.ContainsFunc(among, func(c Choice) bool { return c.Group == group.Name })
+		if named && (best == nil || r.expected(group, query) < r.expected(*best, query)) {
+			best = &group
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return r.choice(*best), true
+}
+
+func (r *Router) choice(group Group) Choice {
+	return Choice{Group: group.Name, Address: group.Spec.Members[0].Address, Epoch: group.Spec.Epoch, Incarnation: r.hints[group.Name].load.Incarnation}
+}
+
+// sure reports whether a report is fresh, or shows so much room that what came
+// and went since, as far as its running time tells, can hardly have filled it.
+func (r *Router) sure(now time.Duration, group Group) bool {
+	h := r.hints[group.Name]
+	age := now - h.at
+	if age < freshFor {
+		return true
+	}
+	service := max(h.load.ServiceMs, 1)
+	changes := 2 * float64(h.load.Running) * float64(age/time.Millisecond) / float64(service)
+	return float64(r.free(group)) > 1+sureDeviations*math.Sqrt(changes)
+}
+
+// free estimates the free places of a group.
+func (r *Router) free(group Group) int {
+	h := r.hints[group.Name]
+	return h.load.Parallel - h.load.Running - h.load.Queued - h.sent
 }
 
 func (r *Router) candidates(now time.Duration, query Query) []Group {
@@ -157,11 +233,13 @@
 }
 
 // ready reports whether the newest report says that the group serves in its
-// configured epoch.
+// configured epoch. A group that could not be reached is left alone until it
+// reports again. Reports count as too old only beside newer ones, so that
+// entries go on with what they know when control is silent.
 func (r *Router) ready(now time.Duration, group Group) bool {
 	h, ok := r.hints[group.Name]
 	return ok && h.reported && h.load.Ready && !h.load.Draining && h.load.Epoch == group.Spec.Epoch &&
-		h.avoid <= now && now-h.at < r.options.hintLife
+		h.avoid <= now && !h.unreachable && r.newest-h.at < r.options.hintLife
 }
 
 // nearest keeps the candidates of the closest tier that has room; without room
@@ -181,10 +259,7 @@
 	return fit
 }
 
-func (r *Router) hasRoom(group Group) bool {
-	h := r.hints[group.Name]
-	return h.load.Running+h.load.Queued+h.sent < h.load.Parallel
-}
+func (r *Router) hasRoom(group Group) bool { return r.free(group) > 0 }
 
 // distance is 0 in the own failure domain, 1 in the own region, else 2.
 func (r *Router) distance(group Group) int {
@@ -202,8 +277,7 @@
 	h := r.hints[group.Name]
 	load := h.load
 	ms := load.FirstTokenMs
-	waiting := load.Running + load.Queued + h.sent - load.Parallel + 1
-	if waiting > 0 {
+	if waiting := 1 - r.free(group); waiting > 0 {
 		ms += waiting * load.ServiceMs / max(1, load.Parallel)
 	}
 	ms += tierMs[r.distance(group)]
--- a/internal/supervisor/serve.go
+++ b/internal/supervisor/serve.go
@@ -19,6 +19,7 @@
 	transporter.Handle(mux, "POST /inner/renew", s.renew)
 	transporter.Handle(mux, "POST /inner/withdraw", s.withdraw)
 	transporter.Handle(mux, "POST /inner/revoke", s.revoke)
+	transporter.Handle(mux, "POST /inner/load", s.loadNow)
 	transporter.Handle(mux, "POST /v1/announce", s.announce)
 	mux.HandleFunc("POST /inner/attempt", s.attempt)
 	mux.HandleFunc("POST /inner/attach", s.attach)
@@ -33,6 +34,18 @@
 	return s.answers[0]
 }
 
+// loadNow answers an entry that is not sure whether there is room. Where this
+// instance does not lead the group, it is reported as not ready.
+func (s *Supervisor) loadNow(_ context.Context, request messenger.LoadRequest) messenger.GroupLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := s.load()
+	if load == nil || load.Group != request.Group {
+		return messenger.GroupLoad{Group: request.Group}
+	}
+	return *load
+}
+
 func (s *Supervisor) withdraw(_ context.Context, notice messenger.WithdrawNotice) struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
