--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -357,9 +357,13 @@
 	}
 }
 
-// compact takes a snapshot once the log has grown.
+// compact takes a snapshot once the log has grown by as much as the state
+// holds, so that the cost per entry stays the same however many claims stand.
 func (c *Controller) compact() error {
-	if c.machine.LogLength() < compactEntries {
+	c.mu.Lock()
+	due := c.machine.LogLength() >= max(compactEntries, c.registrar.Claims())
+	c.mu.Unlock()
+	if !due {
 		return nil
 	}
 	c.mu.Lock()
