Stragglers found by comparison; entries ask leaders that nobody reported

Cause: with all control processes killed right after a group began to serve, the entries had never heard of it and refused requests for good; nothing found a straggler by itself. Ruled out: a longer life of hints (there was none); waiting longer (control does not come back). Change: where no group looks fit, an entry asks the leaders of some configured groups itself; the planner compares each member's time for a token with the median of its model and replaces one that stays at 1.5 times it for 10 s, with a standby; a straggler that was taken out is not taken back as a replacement. Conclusion: an outage of control costs tickets, repair and keyed orders, not service.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -124,7 +124,7 @@
 	return planner.Instance{
 		Name: status.Instance, Address: status.Address, Region: status.Region, FailureDomain: status.FailureDomain,
 		FabricDomain: status.FabricDomain, Service: status.Service, ModelEngine: status.ModelEngine,
-		EndpointUp: status.EndpointUp, Leaving: status.Leaving, Straggling: status.Straggling,
+		EndpointUp: status.EndpointUp, Leaving: status.Leaving, Straggling: status.Straggling, StepMs: status.StepMs,
 		SilentMs: int(now.Sub(entry.at) / time.Millisecond), Group: status.Group, Epoch: status.Epoch, Loaded: status.Loaded,
 	}
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -26,6 +26,7 @@
 	statusGone    = 499
 	finishTimeout = 2 * time.Second
 	askTimeout    = 100 * time.Millisecond
+	askEach       = 5
 )
 
 // event is an input of the request's machine from one of its connections. One
@@ -152,8 +153,8 @@
 	if effect.Retry && !x.spendRetry() {
 		return dispatcher.ChosenMsg{Kind: "retry-budget", Message: "no retry is left in the organisation's budget; retry after a pause"}
 	}
-	for {
-		if choice, ok := x.pick(ctx, query); ok {
+	for tries := 0; ; tries++ {
+		if choice, ok := x.pick(ctx, query, tries%askEach == 0); ok {
 			return dispatcher.ChosenMsg{Target: dispatcher.Target{Group: choice.Group, Address: choice.Address, Epoch: choice.Epoch, Incarnation: choice.Incarnation}}
 		}
 		if x.now() > limit {
@@ -185,19 +186,26 @@
 	x.router.Update(x.now(), router.RefusedMsg{Group: effect.Target.Group, Unreachable: effect.Kind == "unreachable"})
 }
 
-// pick chooses a group; where the reports leave it open whether there is room,
-// the leaders of a sample are asked first.
-func (x *run) pick(ctx context.Context, query router.Query) (router.Choice, bool) {
+// pick chooses a group. Where the reports leave it open whether there is room,
+// the leaders of a sample are asked first; where no group looks fit, those of
+// some configured groups.
+func (x *run) pick(ctx context.Context, query router.Query, mayAsk bool) (router.Choice, bool) {
 	x.mu.Lock()
 	choice, sure, ok := x.router.Choose(x.now(), query)
 	sample := x.router.Sample(x.now(), query)
+	if !ok {
+		sample = x.router.Unheard(query)
+	}
 	x.mu.Unlock()
+	if ask := (ok && !sure && len(sample) > 1) || (!ok && mayAsk && len(sample) > 0); ask {
+		best, found := x.ask(ctx, query, sample)
+		if found {
+			choice, ok = best, true
+		}
+	}
 	if !ok {
 		return choice, false
 	}
-	if !sure && len(sample) > 1 {
-		choice = x.ask(ctx, query, sample, choice)
-	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.router.Update(x.now(), router.SentMsg{Group: choice.Group})
@@ -206,7 +214,7 @@
 
 // ask has the leaders of a sample report their load and chooses among them;
 // those that do not answer in time are left out.
-func (x *run) ask(ctx context.Context, query router.Query, sample []router.Choice, fallback router.Choice) router.Choice {
+func (x *run) ask(ctx context.Context, query router.Query, sample []router.Choice) (router.Choice, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	loads := make(chan messenger.GroupLoad, len(sample))
@@ -228,10 +236,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if best, ok := x.router.Best(x.now(), query, sample); ok {
-		return best
-	}
-	return fallback
+	return x.router.Best(x.now(), query, sample)
 }
 
 func (x *run) claim(ctx context.Context, effect dispatcher.ClaimEffect) dispatcher.Msg {
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -962,6 +962,9 @@
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service,omitempty,omitzero"`
 
+	// StepMs corresponds to the JSON schema field "step-ms".
+	StepMs int `json:"step-ms,omitempty,omitzero"`
+
 	// Straggling corresponds to the JSON schema field "straggling".
 	Straggling bool `json:"straggling,omitempty,omitzero"`
 }
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -6,6 +6,11 @@
 	defaultMinPatienceMs      = 3_000
 	defaultMaxPatienceMs      = 60_000
 	defaultMaxLoads           = 64
+	defaultStragglerAfterMs   = 10_000
+
+	stragglerQuorum   = 4
+	stragglerMultiple = 3
+	stragglerDivisor  = 2
 )
 
 type options struct {
@@ -14,6 +19,7 @@
 	minPatienceMs      int
 	maxPatienceMs      int
 	maxLoads           int
+	stragglerAfterMs   int
 	standbys           bool
 	donors             bool
 	neverReplace       bool
@@ -26,6 +32,7 @@
 		minPatienceMs:      defaultMinPatienceMs,
 		maxPatienceMs:      defaultMaxPatienceMs,
 		maxLoads:           defaultMaxLoads,
+		stragglerAfterMs:   defaultStragglerAfterMs,
 		standbys:           true,
 		donors:             true,
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -32,7 +32,8 @@
 	ModelEngine   bool
 	EndpointUp    bool
 	Leaving       bool
-	Straggling    bool
+	Straggling    bool   // Straggling asks for a replacement before a planned stop.
+	StepMs        int    // StepMs is the engine's own time for one token, 0 where not known.
 	SilentMs      int    // SilentMs is the time since the instance was last heard.
 	Group         string // Group and Epoch name what the instance holds now.
 	Epoch         int
@@ -52,12 +53,13 @@
 // Planner keeps what must be remembered between views.
 type Planner struct {
 	options options
-	trouble map[string]int // trouble holds since when an instance is unusable.
+	trouble map[string]int      // trouble holds since when an instance is unusable.
+	slow    map[string]slowness // slow holds the instances that are slower than their like.
 }
 
 // New returns a planner.
 func New(opts ...Option) *Planner {
-	p := &Planner{options: defaults(), trouble: map[string]int{}}
+	p := &Planner{options: defaults(), trouble: map[string]int{}, slow: map[string]slowness{}}
 	for _, opt := range opts {
 		opt(&p.options)
 	}
@@ -81,6 +83,7 @@
 func (p *Planner) Update(msg ViewMsg) []messenger.Assignment {
 	r := p.newRound(msg)
 	r.noteTrouble()
+	r.noteStragglers()
 	r.retire()
 	r.planServices()
 	order := r.order()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -176,6 +176,21 @@
 	return sample
 }
 
+// Unheard returns some of the configured groups for a request, whatever the
+// reports say of them. Their leaders are asked when no group looks fit, so that
+// entries find out for themselves what control can not tell them.
+func (r *Router) Unheard(query Query) []Choice {
+	var sample []Choice
+	for _, i := range r.rng.Perm(len(r.groups)) {
+		group := r.groups[i]
+		if len(sample) < sampleSize && r.matches(group, query) {
+			r.hint(group.Name)
+			sample = append(sample, r.choice(group))
+		}
+	}
+	return sample
+}
+
 // Best returns the one of some groups with the shortest expected time to the
 // first token, by the newest reports.
 func (r *Router) Best(now time.Duration, query Query, among []Choice) (Choice, bool) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -142,6 +142,18 @@
 	assert.Assert(t, r.hasRoom(r.groups[0]))
 }
 
+func TestGroupsThatNobodyReportedAreAsked(t *testing.T) {
+	r := New(WithSeed(1))
+	r.Update(0, GroupsMsg{Groups: groups(1)})
+	_, _, ok := r.Choose(0, Query{Model: "m"})
+	assert.Assert(t, !ok)
+	sample := r.Unheard(Query{Model: "m"})
+	assert.Equal(t, sample[0].Group, "g0")
+	r.Update(0, LoadsMsg{Loads: []messenger.GroupLoad{report(0, 0)}})
+	_, ok = r.Best(0, Query{Model: "m"}, sample)
+	assert.Assert(t, ok)
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{13, 26, 53, 106} {
 		b.Run(fmt.Sprintf("groups-%d", n), func(b *testing.B) {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -340,7 +340,7 @@
 		Region: s.cfg.Region, FailureDomain: s.cfg.FailureDomain, FabricDomain: s.cfg.FabricDomain,
 		ModelEngine: s.announced.ModelEngine, Service: s.announced.Service, EndpointUp: s.announced.Started != "",
 		ChecksFencing: s.announced.ChecksFencing, Leaving: s.granter.Leaving(), Straggling: s.retiring,
-		Group: held.Group, Epoch: held.Spec.Epoch, Rank: held.Rank, Loaded: s.announced.Loaded, Load: s.load(),
+		Group: held.Group, Epoch: held.Spec.Epoch, Rank: held.Rank, Loaded: s.announced.Loaded, StepMs: s.announced.StepMs, Load: s.load(),
 	}
 }
 
