Dead endpoints noticed by their connection; taken attempts replaced without budget

Cause: an endpoint's death at a rank without calls was found only after 2 s without an announcement; a group that dies under many streams of one small office could use its retry budget up (10 in hand), and the rest would fail. Ruled out: a larger budget in hand, which weakens the bound on tries; faster announcements, which cost every side process all the time. Change: the side process looks after the endpoint when the connection of its announcements closes; only retries of attempts that no leader had taken need budget, since the others are bounded by the deaths of groups.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -77,6 +77,8 @@
 	crashes   int
 	tries     int
 	excluded  map[string]bool
+	heard     bool // heard is set once the leader answered the current attempt.
+	resuming  bool // resuming is set while an attempt that was taken is replaced.
 	mayHave   bool // mayHave is set once any attempt may have run.
 	foreign   bool // foreign marks an attempt of an earlier request with the same key.
 	lastKind  string
@@ -148,7 +150,7 @@
 		return
 	}
 	m.phase = choosing
-	m.emit(ChooseEffect{Excluded: m.excludedGroups(), Retry: m.tries > 0})
+	m.emit(ChooseEffect{Excluded: m.excludedGroups(), Retry: m.tries > 0 && !m.resuming})
 }
 
 func (m *Machine) excludedGroups() map[string]bool {
@@ -196,6 +198,8 @@
 	m.attaches = 0
 	m.lostSince = 0
 	m.offset = 0
+	m.heard = false
+	m.resuming = false
 	m.emit(SendEffect{Target: m.target, Attempt: m.attempt, Suspect: m.crashes > 0})
 }
 
@@ -245,6 +249,7 @@
 		return
 	}
 	m.lostSince = 0
+	m.heard = true
 	if len(frame.Data) > 0 || frame.Status > 0 {
 		m.offset += len(frame.Data)
 		m.emit(DeliverEffect{Frame: frame})
@@ -309,7 +314,9 @@
 }
 
 // lost goes on after an attempt that may have run: elsewhere for repeatable
-// requests, else with the verdict.
+// requests, else with the verdict. Replacing an attempt that a leader had taken
+// needs no retry budget: there is one for each group that dies under it, so that
+// it can not swell.
 func (m *Machine) lost(now time.Duration, kind, message string) {
 	m.mayHave = true
 	m.lastKind, m.lastText = kind, message
@@ -318,6 +325,7 @@
 		return
 	}
 	m.excluded[m.target.Group] = true
+	m.resuming = m.heard
 	m.emit(ResumeEffect{})
 	m.choose(now)
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -73,3 +73,23 @@
 	assert.Assert(t, ok, "%T", effects[1])
 	assert.Assert(t, choose.Excluded["g"])
 }
+
+// lostChoice lets the current attempt end with its group and returns the
+// choice that follows.
+func lostChoice(m *dispatcher.Machine) dispatcher.ChooseEffect {
+	end := messenger.Frame{Attempt: "a1", Final: true, Verdict: "may-have-run", Kind: "group-incomplete"}
+	effects := m.Update(0, dispatcher.FrameMsg{Frame: end})
+	return effects[len(effects)-1].(dispatcher.ChooseEffect)
+}
+
+func TestTakenAttemptIsReplacedWithoutBudget(t *testing.T) {
+	m := sent(dispatcher.Request{ID: "r", Repeatable: true})
+	m.Update(0, frame(0, "abc"))
+	assert.Assert(t, !lostChoice(m).Retry)
+}
+
+func TestRefusedAttemptNeedsBudget(t *testing.T) {
+	m := sent(dispatcher.Request{ID: "r", Repeatable: true})
+	effects := m.Update(0, dispatcher.BrokenMsg{})
+	assert.Assert(t, effects[len(effects)-1].(dispatcher.ChooseEffect).Retry)
+}
--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -59,7 +59,7 @@
 // ChooseEffect asks for a target.
 type ChooseEffect struct {
 	Excluded map[string]bool
-	Retry    bool
+	Retry    bool // Retry means that the choice needs retry budget.
 }
 
 // ClaimEffect commits a claim before the dispatch.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -88,8 +88,10 @@
 			return err
 		}
 	}
+	var options []transporter.Option
 	if s.Has(configurer.RoleSide) {
-		p.addSide(ctx)
+		side := p.addSide(ctx)
+		options = append(options, transporter.WithClosed(side.ConnectionClosed))
 	}
 	if s.Has(configurer.RoleEntry) {
 		if err := p.addEntry(ctx); err != nil {
@@ -105,7 +107,7 @@
 		return nil
 	}
 	p.health.Register(p.inner)
-	return p.listen(ctx, s.Listen, p.inner)
+	return p.listen(ctx, s.Listen, p.inner, options...)
 }
 
 // conditions returns what must hold before the process is ready.
@@ -129,8 +131,8 @@
 	p.group.Add(func() error { return execute(ctx) }, func(error) { cancel() })
 }
 
-func (p *process) listen(ctx context.Context, address string, handler http.Handler) error {
-	server, err := transporter.Listen(address, handler)
+func (p *process) listen(ctx context.Context, address string, handler http.Handler, opts ...transporter.Option) error {
+	server, err := transporter.Listen(address, handler, opts...)
 	if err != nil {
 		return err
 	}
@@ -170,7 +172,7 @@
 	}
 }
 
-func (p *process) addSide(ctx context.Context) {
+func (p *process) addSide(ctx context.Context) *supervisor.Supervisor {
 	s := p.settings
 	side := supervisor.New(supervisor.Config{
 		Name: s.Name, Address: s.Advertise, Region: s.Region, FailureDomain: s.FailureDomain, FabricDomain: s.FabricDomain,
@@ -179,6 +181,7 @@
 	side.Register(p.inner)
 	p.drainers = append(p.drainers, side)
 	p.actor(ctx, side.Run)
+	return side
 }
 
 func (p *process) addEntry(ctx context.Context) error {
--- a/internal/supervisor/execute.go
+++ b/internal/supervisor/execute.go
@@ -39,6 +39,8 @@
 		}
 	case messenger.CrashRequest:
 		s.reportCrash(ctx, effect)
+	case probeEffect:
+		s.probe(ctx, effect)
 	}
 }
 
@@ -196,18 +198,35 @@
 	if ctx.Err() != nil {
 		return messenger.Frame{Verdict: "may-have-run", Kind: "cut", Message: "the call was ended"}
 	}
-	probe, cancel := context.WithTimeout(ctx, probeTimeout)
+	if s.probe(ctx, probeEffect{address: call.address, started: call.started}) {
+		return messenger.Frame{Verdict: "may-have-run", Kind: "endpoint-broke", Message: "the endpoint ended the answer early"}
+	}
+	return messenger.Frame{Verdict: "may-have-run", Kind: granter.ReasonEndpointDown, Message: "the endpoint crashed", Replica: call.replica}
+}
+
+// probeEffect asks whether an incarnation of the endpoint still runs.
+type probeEffect struct {
+	address string
+	started string
+}
+
+// probe asks the endpoint over a new connection whether it still is the same
+// one, and takes it for dead where it is not.
+func (s *Supervisor) probe(ctx context.Context, effect probeEffect) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var current messenger.Announcement
-	err := s.oneShot.Get(probe, "http://"+call.address+"/v1/announcement", &current)
-	if err == nil && current.Started == call.started {
-		return messenger.Frame{Verdict: "may-have-run", Kind: "endpoint-broke", Message: "the endpoint ended the answer early"}
+	err := s.oneShot.Get(ctx, "http://"+effect.address+"/v1/announcement", &current)
+	if err == nil && current.Started == effect.started {
+		return true
 	}
 	s.mu.Lock()
-	if s.announced.Started == call.started {
+	defer s.mu.Unlock()
+	if s.announced.Started == effect.started {
+		s.log.Warn("endpoint dead", "endpoint", effect.address)
 		s.update(granter.EndpointMsg{})
 		s.announced = messenger.Announcement{}
+		s.syncer.Poke()
 	}
-	s.mu.Unlock()
-	return messenger.Frame{Verdict: "may-have-run", Kind: granter.ReasonEndpointDown, Message: "the endpoint crashed", Replica: call.replica}
+	return false
 }
--- a/internal/supervisor/serve.go
+++ b/internal/supervisor/serve.go
@@ -20,7 +20,7 @@
 	transporter.Handle(mux, "POST /inner/withdraw", s.withdraw)
 	transporter.Handle(mux, "POST /inner/revoke", s.revoke)
 	transporter.Handle(mux, "POST /inner/load", s.loadNow)
-	transporter.Handle(mux, "POST /v1/announce", s.announce)
+	mux.HandleFunc("POST /v1/announce", s.takeAnnouncement)
 	mux.HandleFunc("POST /inner/attempt", s.attempt)
 	mux.HandleFunc("POST /inner/attach", s.attach)
 	mux.HandleFunc("POST /v1/retire", s.retire)
@@ -63,6 +63,30 @@
 	transporter.Write(w, http.StatusOK, messenger.ProcessState{Instance: s.cfg.Name, Group: held.Group, Epoch: held.Spec.Epoch})
 }
 
+func (s *Supervisor) takeAnnouncement(w http.ResponseWriter, r *http.Request) {
+	var announcement messenger.Announcement
+	if !transporter.Read(w, r, &announcement) {
+		return
+	}
+	answer := s.announce(r.Context(), announcement)
+	s.mu.Lock()
+	s.announcer = r.RemoteAddr
+	s.mu.Unlock()
+	transporter.Write(w, http.StatusOK, answer)
+}
+
+// ConnectionClosed looks after the endpoint when the connection closes over
+// which it last announced itself: a process that dies closes it at once, long
+// before an announcement is missed.
+func (s *Supervisor) ConnectionClosed(remote string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if remote != s.announcer || s.announced.Started == "" {
+		return
+	}
+	s.queue(probeEffect{address: s.announced.Address, started: s.announced.Started})
+}
+
 // announce takes what the endpoint says of itself. A changed incarnation means
 // that the endpoint has crashed in between.
 func (s *Supervisor) announce(_ context.Context, announcement messenger.Announcement) messenger.AnnouncementAnswer {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -76,6 +76,7 @@
 	admitter  *admitter.Machine
 	attempts  map[string]*attempt
 	announced messenger.Announcement
+	announcer string // announcer is the remote address of the last announcement.
 	heard     time.Duration
 	first     time.Duration // first is the smoothed time to the first token.
 	answers   []messenger.RenewAnswer
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -148,3 +148,18 @@
 	answer := s.revoke(context.Background(), messenger.RevokeRequest{Attempt: "a1", Incarnation: "earlier.0"})
 	assert.Assert(t, !answer.NotRun)
 }
+
+// TestDeadEndpointIsNoticedByItsConnection closes the endpoint and the
+// connection of its announcements: the group must break without waiting for a
+// missed announcement.
+func TestDeadEndpointIsNoticedByItsConnection(t *testing.T) {
+	s := serving(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	s.announcer = "10.0.0.9:4000"
+	s.ConnectionClosed("10.0.0.8:4000")
+	assert.Equal(t, len(s.effects), 0, "another connection was taken for the endpoint's")
+	s.ConnectionClosed("10.0.0.9:4000")
+	s.execute(s.base, <-s.effects)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Assert(t, !s.granter.MayDispatch(s.now()))
+}
--- a/internal/transporter/server.go
+++ b/internal/transporter/server.go
@@ -15,13 +15,31 @@
 	server   *http.Server
 }
 
+// Option changes a setting of a Server.
+type Option func(*http.Server)
+
+// WithClosed calls a function with the remote address of each connection that
+// was closed.
+func WithClosed(closed func(remote string)) Option {
+	return func(server *http.Server) {
+		server.ConnState = func(conn net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				closed(conn.RemoteAddr().String())
+			}
+		}
+	}
+}
+
 // Listen opens the address and returns a server for the handler.
-func Listen(address string, handler http.Handler) (*Server, error) {
+func Listen(address string, handler http.Handler, opts ...Option) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s; choose a free address in the settings", address)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	for _, opt := range opts {
+		opt(server)
+	}
 	return &Server{listener: listener, server: server}, nil
 }
 
