--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -25,8 +25,6 @@
 	maxLineBytes  = 32 << 20
 	statusGone    = 499
 	finishTimeout = 2 * time.Second
-	askTimeout    = 100 * time.Millisecond
-	askEach       = 5
 )
 
 // event is an input of the request's machine from one of its connections. One
@@ -143,102 +141,6 @@
 	go func() { post(step(ctx, post)) }()
 }
 
-// choose waits a while for a fit group; a retry needs budget.
-func (x *run) choose(ctx context.Context, effect dispatcher.ChooseEffect) dispatcher.Msg {
-	query := router.Query{Model: x.call.model, Adapter: x.call.adapter, Service: x.call.service, Prefix: x.call.prefix, Excluded: effect.Excluded}
-	limit := x.now() + waitForGroup
-	if x.call.deadline > 0 {
-		limit = min(limit, x.call.deadline)
-	}
-	if effect.Retry && !x.spendRetry() {
-		return dispatcher.ChosenMsg{Kind: "retry-budget", Message: "no retry is left in the organisation's budget; retry after a pause"}
-	}
-	for tries := 0; ; tries++ {
-		if choice, ok := x.pick(ctx, query, tries%askEach == 0); ok {
-			return dispatcher.ChosenMsg{Target: dispatcher.Target{Group: choice.Group, Address: choice.Address, Epoch: choice.Epoch, Incarnation: choice.Incarnation}}
-		}
-		if x.now() > limit {
-			return dispatcher.ChosenMsg{Kind: "no-group", Message: "no complete group serves this now; retry after a pause"}
-		}
-		query.Excluded = nil
-		select {
-		case <-ctx.Done():
-			return dispatcher.ChosenMsg{Kind: "no-group", Message: "the caller left"}
-		case <-time.After(chooseEvery):
-		}
-	}
-}
-
-func (x *run) spendRetry() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.budget.Spend(x.call.organisation)
-}
-
-// noteRefusal keeps requests away from a group that does not serve now. One that
-// is only full for this request may well take another one.
-func (x *run) noteRefusal(effect dispatcher.RefusedEffect) {
-	if effect.Kind == "overloaded" || effect.Kind == "deadline" {
-		return
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.router.Update(x.now(), router.RefusedMsg{Group: effect.Target.Group, Unreachable: effect.Kind == "unreachable"})
-}
-
-// pick chooses a group. Where the reports leave it open whether there is room,
-// the leaders of a sample are asked first; where no group looks fit, those of
-// some configured groups.
-func (x *run) pick(ctx context.Context, query router.Query, mayAsk bool) (router.Choice, bool) {
-	x.mu.Lock()
-	choice, sure, ok := x.router.Choose(x.now(), query)
-	sample := x.router.Sample(x.now(), query)
-	if !ok {
-		sample = x.router.Unheard(query)
-	}
-	x.mu.Unlock()
-	if ask := (ok && !sure && len(sample) > 1) || (!ok && mayAsk && len(sample) > 0); ask {
-		best, found := x.ask(ctx, query, sample)
-		if found {
-			choice, ok = best, true
-		}
-	}
-	if !ok {
-		return choice, false
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.router.Update(x.now(), router.SentMsg{Group: choice.Group})
-	return choice, true
-}
-
-// ask has the leaders of a sample report their load and chooses among them;
-// those that do not answer in time are left out.
-func (x *run) ask(ctx context.Context, query router.Query, sample []router.Choice) (router.Choice, bool) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	loads := make(chan messenger.GroupLoad, len(sample))
-	for _, choice := range sample {
-		go func() {
-			var load messenger.GroupLoad
-			_ = x.client.Call(ctx, "http://"+choice.Address+"/inner/load", messenger.LoadRequest{Group: choice.Group}, &load)
-			loads <- load
-		}()
-	}
-	for range sample {
-		load := <-loads
-		if load.Epoch == 0 {
-			continue
-		}
-		x.mu.Lock()
-		x.router.Update(x.now(), router.LoadsMsg{Loads: []messenger.GroupLoad{load}})
-		x.mu.Unlock()
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.router.Best(x.now(), query, sample)
-}
-
 func (x *run) claim(ctx context.Context, effect dispatcher.ClaimEffect) dispatcher.Msg {
 	answer, ok := x.command(ctx, messenger.Command{Kind: registrar.CommandClaim, Claim: &effect.Request})
 	if !ok || answer.Claim == nil {
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -38,13 +38,13 @@
 			verses = r
 		}
 	}
-	close := func(got, want float64) {
+	near := func(got, want float64) {
 		assert.Assert(t, got > want-1e-9 && got < want+1e-9, "%v is not %v", got, want)
 	}
-	close(verses.Burns[0].Rate, 0.2/0.05)
-	close(verses.Burns[1].Rate, 0.2/0.05)
-	close(verses.Burns[2].Rate, 70.0/1100/0.05)
-	close(verses.BudgetLeft, 1-70.0/1100/0.05)
+	near(verses.Burns[0].Rate, 0.2/0.05)
+	near(verses.Burns[1].Rate, 0.2/0.05)
+	near(verses.Burns[2].Rate, 70.0/1100/0.05)
+	near(verses.BudgetLeft, 1-70.0/1100/0.05)
 }
 
 func TestReportAsText(t *testing.T) {
