--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -94,6 +94,7 @@
 	inbox   chan any
 	peers   map[string]chan messenger.ReplicaMessage
 	ended   chan string
+	helpers int // helpers counts the goroutines that report their end on ended.
 	burn    *recorder.Recorder
 	began   time.Time
 
@@ -142,32 +143,41 @@
 // Run drives the process until the context ends or its disk fails.
 func (c *Controller) Run(ctx context.Context) error {
 	defer func() { _ = c.journal.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	if err := c.enter(ctx); err != nil {
 		if ctx.Err() != nil {
 			return nil
 		}
 		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	helpers := make(chan string, 2)
-	go c.repeat(ctx, helpers, "planner", planEvery, c.plan)
-	go c.repeat(ctx, helpers, "presence", presenceEvery, c.reportPresence)
+	c.begin("planner", func() { c.repeat(ctx, planEvery, c.plan) })
+	c.begin("presence", func() { c.repeat(ctx, presenceEvery, c.reportPresence) })
 	err := c.loop(ctx)
 	cancel()
-	for range 2 {
-		<-helpers
+	for range c.helpers {
+		<-c.ended
 	}
 	return err
 }
 
-// repeat runs a step at a steady pace and reports its end.
-func (c *Controller) repeat(ctx context.Context, ended chan<- string, name string, every time.Duration, step func(context.Context)) {
+// begin runs a helper that reports its end to Run; only the goroutine of Run
+// calls it.
+func (c *Controller) begin(name string, run func()) {
+	c.helpers++
+	go func() {
+		defer func() { c.ended <- name }()
+		run()
+	}()
+}
+
+// repeat runs a step at a steady pace until the context ends.
+func (c *Controller) repeat(ctx context.Context, every time.Duration, step func(context.Context)) {
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			ended <- name
 			return
 		case <-ticker.C:
 			step(ctx)
--- a/internal/controller/peer.go
+++ b/internal/controller/peer.go
@@ -39,7 +39,7 @@
 	if !ok {
 		queue = make(chan messenger.ReplicaMessage, peerQueue)
 		c.peers[message.To] = queue
-		go c.sendTo(ctx, message.To, queue)
+		c.begin(message.To, func() { c.sendTo(ctx, message.To, queue) })
 	}
 	select {
 	case queue <- message:
@@ -49,7 +49,6 @@
 
 // sendTo sends the queued messages of one peer in batches.
 func (c *Controller) sendTo(ctx context.Context, replica string, queue <-chan messenger.ReplicaMessage) {
-	defer func() { c.ended <- replica }()
 	url := "http://" + AddressOf(replica) + "/inner/replicate"
 	for {
 		select {
@@ -184,13 +183,11 @@
 	if err != nil || len(state.Snapshot.Voters) > 0 || len(state.Entries) > 0 {
 		return err
 	}
-	ended := make(chan string, 1)
-	go c.askToJoin(ctx, ended)
+	c.begin("join", func() { c.askToJoin(ctx) })
 	return nil
 }
 
-func (c *Controller) askToJoin(ctx context.Context, ended chan<- string) {
-	defer func() { ended <- "join" }()
+func (c *Controller) askToJoin(ctx context.Context) {
 	own := c.journal.Identity()
 	request := messenger.MembershipRequest{Action: "add", Name: own, Address: c.cfg.Address}
 	for {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -37,8 +37,7 @@
 	Key          string // Key is the caller's idempotency key, or empty.
 	Fingerprint  string
 	Repeatable   bool
-	Resumable    bool // Resumable means that delivered output can be continued elsewhere.
-	Crashes      int  // Crashes is the known number of replicas that crashed under it.
+	Crashes      int // Crashes is the known number of replicas that crashed under it.
 	Deadline     time.Duration
 }
 
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -64,7 +64,7 @@
 		Forwarder: f, call: c, ctx: ctx, answer: newAnswer(w, c), events: make(chan event, eventQueue), stop: func() {},
 		machine: dispatcher.New(dispatcher.Request{
 			ID: c.id, Organisation: c.organisation, Key: c.key, Fingerprint: c.fingerprint, Repeatable: c.repeatable,
-			Resumable: c.stream, Crashes: f.crashes(c.fingerprint), Deadline: c.deadline,
+			Crashes: f.crashes(c.fingerprint), Deadline: c.deadline,
 		}, uuid.NewString),
 	}
 	x.feed(dispatcher.StartMsg{})
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -112,9 +112,6 @@
 	// Path corresponds to the JSON schema field "path".
 	Path string `json:"path,omitempty,omitzero"`
 
-	// Prefix corresponds to the JSON schema field "prefix".
-	Prefix string `json:"prefix,omitempty,omitzero"`
-
 	// Priority corresponds to the JSON schema field "priority".
 	Priority int `json:"priority,omitempty,omitzero"`
 
@@ -376,9 +373,6 @@
 	// Replica corresponds to the JSON schema field "replica".
 	Replica string `json:"replica,omitempty,omitzero"`
 
-	// Started corresponds to the JSON schema field "started".
-	Started bool `json:"started,omitempty,omitzero"`
-
 	// Status corresponds to the JSON schema field "status".
 	Status int `json:"status,omitempty,omitzero"`
 
@@ -809,9 +803,6 @@
 
 // Messages for one replica.
 type ReplicaBatch struct {
-	// Cluster corresponds to the JSON schema field "cluster".
-	Cluster string `json:"cluster,omitempty,omitzero"`
-
 	// Messages corresponds to the JSON schema field "messages".
 	Messages []ReplicaMessage `json:"messages,omitempty,omitzero"`
 }
@@ -821,9 +812,6 @@
 	// Commit corresponds to the JSON schema field "commit".
 	Commit int `json:"commit,omitempty,omitzero"`
 
-	// Context corresponds to the JSON schema field "context".
-	Context int `json:"context,omitempty,omitzero"`
-
 	// Entries corresponds to the JSON schema field "entries".
 	Entries []Entry `json:"entries,omitempty,omitzero"`
 
@@ -1092,9 +1080,6 @@
 
 // A replica's durable term and vote.
 type VoteState struct {
-	// Commit corresponds to the JSON schema field "commit".
-	Commit int `json:"commit,omitempty,omitzero"`
-
 	// Term corresponds to the JSON schema field "term".
 	Term int `json:"term,omitempty,omitzero"`
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -159,7 +159,8 @@
 		b.Run(fmt.Sprintf("instances-%d", instances), func(b *testing.B) {
 			f := newFleet(instances/17, 17)
 			f.model("a", 16, instances/17, 0, 1000)
-			f.run(60_000)
+			f.tickMs = 1000
+			f.run(30_000)
 			view := f.view()
 			b.ReportAllocs()
 			b.ResetTimer()
--- a/internal/supervisor/attempt.go
+++ b/internal/supervisor/attempt.go
@@ -85,7 +85,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.status > 0 && !begun {
-		frames = append(frames, messenger.Frame{Attempt: a.request.Attempt, Offset: offset, Status: a.status, ContentType: a.contentType, Started: true})
+		frames = append(frames, messenger.Frame{Attempt: a.request.Attempt, Offset: offset, Status: a.status, ContentType: a.contentType})
 	}
 	if len(a.data) > offset {
 		frames = append(frames, messenger.Frame{Attempt: a.request.Attempt, Offset: offset, Data: append([]byte(nil), a.data[offset:]...)})
