--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,7 +63,7 @@
 type Router struct {
 	options options
 	rng     *rand.Rand
-	groups  []Group
+	groups  []*Group
 	hints   map[string]*hint
 	newest  time.Duration // newest is when the newest report was measured.
 }
@@ -82,7 +82,7 @@
 func (r *Router) Update(now time.Duration, msg Msg) {
 	switch msg := msg.(type) {
 	case GroupsMsg:
-		r.setGroups(msg.Groups)
+		r.setGroups(slices.Clone(msg.Groups))
 	case LoadsMsg:
 		for _, load := range msg.Loads {
 			r.note(now, load)
@@ -113,8 +113,11 @@
 }
 
 func (r *Router) setGroups(groups []Group) {
-	r.groups = slices.Clone(groups)
-	slices.SortFunc(r.groups, func(a, b Group) int { return cmp.Compare(a.Name, b.Name) })
+	r.groups = nil
+	for i := range groups {
+		r.groups = append(r.groups, &groups[i])
+	}
+	slices.SortFunc(r.groups, func(a, b *Group) int { return cmp.Compare(a.Name, b.Name) })
 	for name := range r.hints {
 		known := slices.ContainsFunc(groups, func(g Group) bool { return g.Name == name })
 		if !known {
@@ -197,23 +200,23 @@
 	var best *Group
 	for _, group := range r.candidates(now, query) {
 		named := slices.ContainsFunc(among, func(c Choice) bool { return c.Group == group.Name })
-		if named && (best == nil || r.expected(group, query) < r.expected(*best, query)) {
-			best = &group
+		if named && (best == nil || r.expected(group, query) < r.expected(best, query)) {
+			best = group
 		}
 	}
 	if best == nil {
 		return Choice{}, false
 	}
-	return r.choice(*best), true
+	return r.choice(best), true
 }
 
-func (r *Router) choice(group Group) Choice {
+func (r *Router) choice(group *Group) Choice {
 	return Choice{Group: group.Name, Address: group.Spec.Members[0].Address, Epoch: group.Spec.Epoch, Incarnation: r.hints[group.Name].load.Incarnation}
 }
 
 // sure reports whether a report is fresh, or shows so much room that what came
 // and went since, as far as its running time tells, can hardly have filled it.
-func (r *Router) sure(now time.Duration, group Group) bool {
+func (r *Router) sure(now time.Duration, group *Group) bool {
 	h := r.hints[group.Name]
 	age := now - h.at
 	if age < freshFor {
@@ -225,13 +228,13 @@
 }
 
 // free estimates the free places of a group.
-func (r *Router) free(group Group) int {
+func (r *Router) free(group *Group) int {
 	h := r.hints[group.Name]
 	return h.load.Parallel - h.load.Running - h.load.Queued - h.sent
 }
 
-func (r *Router) candidates(now time.Duration, query Query) []Group {
-	var fit []Group
+func (r *Router) candidates(now time.Duration, query Query) []*Group {
+	fit := make([]*Group, 0, len(r.groups))
 	for _, group := range r.groups {
 		if r.matches(group, query) && r.ready(now, group) {
 			fit = append(fit, group)
@@ -240,7 +243,7 @@
 	return fit
 }
 
-func (r *Router) matches(group Group, query Query) bool {
+func (r *Router) matches(group *Group, query Query) bool {
 	if query.Excluded[group.Name] || group.Spec.Model != query.Model || group.Spec.Service != query.Service {
 		return false
 	}
@@ -251,7 +254,7 @@
 // configured epoch. A group that could not be reached is left alone until it
 // reports again. Reports count as too old only beside newer ones, so that
 // entries go on with what they know when control is silent.
-func (r *Router) ready(now time.Duration, group Group) bool {
+func (r *Router) ready(now time.Duration, group *Group) bool {
 	h, ok := r.hints[group.Name]
 	return ok && h.reported && h.load.Ready && !h.load.Draining && h.load.Epoch == group.Spec.Epoch &&
 		h.avoid <= now && !h.unreachable && r.newest-h.at < r.options.hintLife
@@ -259,9 +262,9 @@
 
 // nearest keeps the candidates of the closest tier that has room; without room
 // anywhere it keeps them all.
-func (r *Router) nearest(fit []Group) []Group {
+func (r *Router) nearest(fit []*Group) []*Group {
 	for distance := range 3 {
-		var near []Group
+		var near []*Group
 		for _, group := range fit {
 			if r.distance(group) <= distance && r.hasRoom(group) {
 				near = append(near, group)
@@ -274,10 +277,10 @@
 	return fit
 }
 
-func (r *Router) hasRoom(group Group) bool { return r.free(group) > 0 }
+func (r *Router) hasRoom(group *Group) bool { return r.free(group) > 0 }
 
 // distance is 0 in the own failure domain, 1 in the own region, else 2.
-func (r *Router) distance(group Group) int {
+func (r *Router) distance(group *Group) int {
 	switch {
 	case group.Spec.FailureDomain == r.options.failureDomain:
 		return 0
@@ -288,7 +291,7 @@
 }
 
 // expected estimates the milliseconds to the first token.
-func (r *Router) expected(group Group, query Query) int {
+func (r *Router) expected(group *Group, query Query) int {
 	h := r.hints[group.Name]
 	load := h.load
 	ms := load.FirstTokenMs
