Prompts that begin alike go to one group while it has room

Cause: routing knew prefix affinity only from cache events, which name the engine's own blocks, come late and with gaps, and would not fit into the digest. Change: the home of a beginning is found by rendezvous hashing among the closest groups; it is taken while an eighth of its places is free, also where leaders had to be asked. Conclusion: entries agree without a message.

--- a/bounds/bounds_test.go
+++ b/bounds/bounds_test.go
@@ -123,3 +123,30 @@
 	assert.Assert(t, float64(tries) <= 1.1*float64(requests))
 	assert.Assert(t, after >= 0.95)
 }
+
+// TestBoundsAffinity gives prompts one of 36 beginnings, of which an engine
+// keeps four: with affinity far more of them are found there, and no fewer
+// first tokens are in time.
+func TestBoundsAffinity(t *testing.T) {
+	hits := map[bool]float64{}
+	inTime := map[bool]float64{}
+	for _, affinity := range []bool{false, true} {
+		s := newSim(options{groups: 12, entries: 20, lag: time.Second, chooser: ours{}, seed: 5, queue: 1000, prefixes: 36, affinity: affinity})
+		s.arrive("o", 0.6*s.capacity(), long/4)
+		s.run(long)
+		found, all := 0, 0
+		for _, r := range s.requests {
+			if r.began > warm && r.first > 0 {
+				all++
+				if r.hit {
+					found++
+				}
+			}
+		}
+		hits[affinity] = float64(found) / float64(all)
+		inTime[affinity], _ = s.kept("", warm, long/4)
+		t.Logf("affinity %-5t: %.3f found in memory, %.3f in time, first token p50 %d ms", affinity, hits[affinity], inTime[affinity], percentile(s.firsts("", warm, long/4), 50).Milliseconds())
+	}
+	assert.Assert(t, hits[true] >= 2*hits[false], "%.3f against %.3f", hits[true], hits[false])
+	assert.Assert(t, inTime[true] >= 0.95 && inTime[true] >= inTime[false]-0.01, "%.3f against %.3f", inTime[true], inTime[false])
+}
--- a/bounds/fake_test.go
+++ b/bounds/fake_test.go
@@ -20,6 +20,8 @@
 	promise    = 740 * time.Millisecond
 	parallel   = 8
 	hop        = time.Millisecond
+
+	cachedPrefixes = 4
 )
 
 // event is something due at a virtual time.
@@ -49,6 +51,7 @@
 	machine  *admitter.Machine
 	requests map[string]*request
 	dark     bool
+	cached   []string // cached holds the prefixes in the engine's memory, the newest last.
 }
 
 // chooser picks a group at an entry.
@@ -72,6 +75,8 @@
 	answer       time.Duration
 	first        time.Duration
 	tries        int
+	prefix       string
+	hit          bool
 	excluded     map[string]bool
 	state        string
 }
@@ -84,6 +89,8 @@
 	deadline        time.Duration
 	seed            uint64
 	queue           int
+	prefixes        int // prefixes is how many beginnings the prompts have; 0 means none in common.
+	affinity        bool
 }
 
 type sim struct {
@@ -204,6 +211,9 @@
 		id: fmt.Sprint(len(s.requests)), organisation: organisation, began: s.now,
 		answer: time.Duration(float64(meanAnswer) * length), excluded: map[string]bool{},
 	}
+	if s.prefixes > 0 {
+		r.prefix = fmt.Sprint("prefix-", s.rng.IntN(s.prefixes))
+	}
 	s.requests = append(s.requests, r)
 	e := s.entries[s.rng.IntN(len(s.entries))]
 	e.budget.Request(organisation)
@@ -257,12 +267,13 @@
 
 func (s *sim) start(e *entry, g *group, id string) {
 	r := g.requests[id]
-	s.after(firstToken, func() {
+	first := g.firstToken(r)
+	s.after(first, func() {
 		if !g.dark {
 			r.first = s.now
 		}
 	})
-	s.after(firstToken+r.answer, func() {
+	s.after(first+r.answer, func() {
 		if g.dark {
 			return
 		}
@@ -272,6 +283,27 @@
 	})
 }
 
+// firstToken is shorter where the prompt's beginning is in the engine's memory,
+// which holds a few of them.
+func (g *group) firstToken(r *request) time.Duration {
+	if r.prefix == "" {
+		return firstToken
+	}
+	i := slices.Index(g.cached, r.prefix)
+	r.hit = i >= 0
+	if r.hit {
+		g.cached = slices.Delete(g.cached, i, i+1)
+	}
+	g.cached = append(g.cached, r.prefix)
+	if len(g.cached) > cachedPrefixes {
+		g.cached = g.cached[1:]
+	}
+	if r.hit {
+		return firstToken / 3
+	}
+	return firstToken
+}
+
 // refused tries elsewhere within the budget.
 func (s *sim) refused(e *entry, g *group, r *request) {
 	r.excluded[g.name] = true
@@ -302,6 +334,9 @@
 
 func (ours) choose(s *sim, e *entry, r *request) (string, bool) {
 	query := router.Query{Model: "m", Excluded: r.excluded}
+	if s.affinity {
+		query.Prefix = r.prefix
+	}
 	choice, sure, ok := e.router.Choose(s.now, query)
 	if ok && !sure {
 		choice = s.ask(e, query, choice)
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -403,9 +403,6 @@
 	// Parallel corresponds to the JSON schema field "parallel".
 	Parallel int `json:"parallel,omitempty,omitzero"`
 
-	// Prefixes corresponds to the JSON schema field "prefixes".
-	Prefixes []string `json:"prefixes,omitempty,omitzero"`
-
 	// Queued corresponds to the JSON schema field "queued".
 	Queued int `json:"queued,omitempty,omitzero"`
 
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -11,6 +11,8 @@
 	sampleSize = 4
 
 	sureDeviations = 3
+	homeDivisor    = 8
+	farthest       = 2
 	loadScale      = 100
 )
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"papayaseam/internal/messenger"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Group is one active group of the configuration.
@@ -150,16 +152,41 @@
 		return Choice{}, false, false
 	}
 	near := r.nearest(fit)
+	if home := r.home(fit, query.Prefix); home != nil && r.sure(now, home) {
+		return r.choice(home), true, true
+	}
 	picked := near[r.rng.IntN(len(near))]
 	for range tournament - 1 {
 		other := near[r.rng.IntN(len(near))]
-		if r.expected(other, query) < r.expected(picked, query) {
+		if r.expected(other) < r.expected(picked) {
 			picked = other
 		}
 	}
 	return r.choice(picked), r.sure(now, picked), true
 }
 
+// home returns the group at which a prompt's beginning is likely cached, by
+// rendezvous hashing among the closest groups, so that entries agree on it
+// without a message. It is nil where that group looks crowded.
+func (r *Router) home(fit []*Group, prefix string) *Group {
+	if prefix == "" {
+		return nil
+	}
+	var home *Group
+	most, closest := uint64(0), farthest
+	for _, group := range fit {
+		distance := r.distance(group)
+		sum := xxhash.Sum64String(prefix + group.Name)
+		if home == nil || distance < closest || (distance == closest && sum > most) {
+			home, most, closest = group, sum, distance
+		}
+	}
+	if home == nil || homeDivisor*r.free(home) < r.hints[home.Name].load.Parallel {
+		return nil
+	}
+	return home
+}
+
 // Sample returns some of the candidates to ask for their load: one of the
 // nearest that look fit, the others drawn at random among all, since a report
 // that shows no room may be as old as one that shows some.
@@ -169,7 +196,11 @@
 		return nil
 	}
 	near := r.nearest(fit)
-	sample := []Choice{r.choice(near[r.rng.IntN(len(near))])}
+	first := r.home(fit, query.Prefix)
+	if first == nil {
+		first = near[r.rng.IntN(len(near))]
+	}
+	sample := []Choice{r.choice(first)}
 	r.rng.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
 	for _, group := range fit {
 		if len(sample) < sampleSize && group.Name != sample[0].Group {
@@ -194,13 +225,19 @@
 	return sample
 }
 
-// Best returns the one of some groups with the shortest expected time to the
-// first token, by the newest reports.
+// Best returns, by the newest reports, the one of some groups that likely has the
+// prompt's beginning cached and is not crowded, else the one with the shortest
+// expected time to the first token.
 func (r *Router) Best(now time.Duration, query Query, among []Choice) (Choice, bool) {
 	var best *Group
-	for _, group := range r.candidates(now, query) {
+	fit := r.candidates(now, query)
+	home := r.home(fit, query.Prefix)
+	for _, group := range fit {
 		named := slices.ContainsFunc(among, func(c Choice) bool { return c.Group == group.Name })
-		if named && (best == nil || r.expected(group, query) < r.expected(best, query)) {
+		if named && group == home {
+			return r.choice(home), true
+		}
+		if named && (best == nil || r.expected(group) < r.expected(best)) {
 			best = group
 		}
 	}
@@ -263,7 +300,7 @@
 // nearest keeps the candidates of the closest tier that has room; without room
 // anywhere it keeps them all.
 func (r *Router) nearest(fit []*Group) []*Group {
-	for distance := range 3 {
+	for distance := range farthest + 1 {
 		var near []*Group
 		for _, group := range fit {
 			if r.distance(group) <= distance && r.hasRoom(group) {
@@ -291,7 +328,7 @@
 }
 
 // expected estimates the milliseconds to the first token.
-func (r *Router) expected(group *Group, query Query) int {
+func (r *Router) expected(group *Group) int {
 	h := r.hints[group.Name]
 	load := h.load
 	ms := load.FirstTokenMs
@@ -299,8 +336,5 @@
 		ms += waiting * load.ServiceMs / max(1, load.Parallel)
 	}
 	ms += tierMs[r.distance(group)]
-	if query.Prefix != "" && slices.Contains(load.Prefixes, query.Prefix) {
-		ms -= load.FirstTokenMs / 2
-	}
 	return ms*loadScale + (load.Running+load.Queued+h.sent)*loadScale/max(1, load.Parallel)
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -356,6 +356,5 @@
 		Draining: s.granter.Draining(), Running: s.admitter.Running(), Queued: s.admitter.Ahead(),
 		Parallel: s.admitter.Parallel(), FirstTokenMs: int(s.first / time.Millisecond),
 		WaitMs: int(s.admitter.Wait() / time.Millisecond), ServiceMs: int(s.admitter.Service() / time.Millisecond),
-		Prefixes: s.announced.Prefixes,
 	}
 }
