Scripted test of the margin between grant and promise

Change: a test with a slow leader and a fast member, cut off from each other. Conclusion: rare cases need scripts.

--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -368,3 +368,22 @@
 	assert.Equal(t, lead.Spec.Epoch, 2)
 	assert.Assert(t, leader.machine.MayDispatch(w.clock(leader)))
 }
+
+// TestGrantEndsBeforeThePromise gives the leader a slow clock and the member a
+// fast one, and cuts them off from each other: the leader must stop before the
+// member is free to promise itself elsewhere.
+func TestGrantEndsBeforeThePromise(t *testing.T) {
+	w := newWorld(t, 2)
+	leader, member := w.nodes[0], w.nodes[1]
+	leader.rate, member.rate = 0.99, 1.01
+	w.assign("a", 0, 1)
+	w.settle(6 * time.Second)
+	assert.Assert(t, leader.machine.Complete(w.clock(leader)))
+	w.cut["i1"] = true
+	for range 400 {
+		w.pass(10 * time.Millisecond)
+		serving := leader.machine.Complete(w.clock(leader))
+		assert.Assert(t, !serving || member.machine.promised(w.clock(member)), "at %v the member is free while its leader serves", w.now)
+	}
+	assert.Assert(t, !leader.machine.Complete(w.clock(leader)))
+}
