Kept answers are bounded by bytes

Change: 'keep-mb' bounds them, the oldest go first; who asks for a dropped one learns that it may have run. Before: no bound. After: TestKeptAnswersStayWithinTheirBound. Conclusion: memory is bounded, the verdict stays honest.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -51,8 +51,9 @@
 	CutOffLimit time.Duration
 	Seed        uint64
 
-	Queue int
-	Drain time.Duration
+	Queue     int
+	Drain     time.Duration
+	KeepBytes int
 
 	Endpoint Endpoint
 }
@@ -73,6 +74,8 @@
 	maxDurationMs = 24 * 60 * 60 * 1000
 	maxQueue      = 1_000_000
 	maxLoads      = 100_000
+	maxKeepMB     = 100_000
+	bytesPerMB    = 1 << 20
 )
 
 // Addresses returns the addresses of all control processes, sorted by name.
@@ -141,6 +144,7 @@
 		sections = append(sections, "side")
 		s.Queue = f.Int("side", "queue", 64, 1, maxQueue)
 		s.Drain = r.duration("side", "drain-ms", time.Minute)
+		s.KeepBytes = bytesPerMB * f.Int("side", "keep-mb", 48, 1, maxKeepMB)
 	}
 	if s.Has(RoleEndpoint) {
 		sections = append(sections, "fake-endpoint")
--- a/internal/supervisor/attempt.go
+++ b/internal/supervisor/attempt.go
@@ -23,7 +23,6 @@
 	data        []byte
 	started     bool
 	final       *messenger.Frame
-	readers     int
 }
 
 func newAttempt(request messenger.AttemptRequest) *attempt {
@@ -57,6 +56,13 @@
 	return true
 }
 
+// size is the number of bytes kept.
+func (a *attempt) size() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.data) + len(a.request.Body)
+}
+
 // end sets the final frame once; later calls change nothing.
 func (a *attempt) end(frame messenger.Frame) bool {
 	a.mu.Lock()
--- a/internal/supervisor/execute.go
+++ b/internal/supervisor/execute.go
@@ -122,6 +122,7 @@
 	if final.Kind == granter.ReasonEndpointDown {
 		s.queue(messenger.CrashRequest{Replica: call.replica, Fingerprints: []string{a.request.Fingerprint}})
 	}
+	s.keep(a)
 	s.admit(admitter.FinishMsg{ID: a.request.Attempt})
 	s.noteRunning()
 	s.startWaiting()
--- a/internal/supervisor/serve.go
+++ b/internal/supervisor/serve.go
@@ -169,12 +169,21 @@
 		Priority: request.Priority, Deadline: deadline, Suspect: request.Suspect,
 	}})
 	if _, taken := s.attempts[request.Attempt]; !taken {
-		a.end(messenger.Frame{Verdict: "not-run", Kind: admitter.RefusedRevoked, Message: "the attempt was revoked"})
+		a.end(s.verdictOfKnown(request.Attempt))
 	}
 	s.startWaiting()
 	return a
 }
 
+// verdictOfKnown tells what became of an attempt whose record is gone: one that
+// was refused never runs, any other may have run; mu is held.
+func (s *Supervisor) verdictOfKnown(id string) messenger.Frame {
+	if s.admitter.State(id) == admitter.Refused {
+		return messenger.Frame{Verdict: "not-run", Kind: admitter.RefusedRevoked, Message: "the attempt was revoked"}
+	}
+	return messenger.Frame{Verdict: "may-have-run", Kind: "answer-forgotten", Message: "the answer is no longer kept"}
+}
+
 // misdirected returns why an attempt is not for this leader now; mu is held.
 func (s *Supervisor) misdirected(request messenger.AttemptRequest, now time.Duration) string {
 	lead, ok := s.granter.Leads()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,7 @@
 	Controls      []string
 	Queue         int
 	Drain         time.Duration
+	KeepBytes     int // KeepBytes bounds the answers kept for re-attachment.
 }
 
 // Supervisor is one side process.
@@ -75,6 +77,8 @@
 	granter   *granter.Machine
 	admitter  *admitter.Machine
 	attempts  map[string]*attempt
+	kept      []*attempt // kept holds the ended attempts whose answers are still here, the oldest first.
+	keptBytes int
 	announced messenger.Announcement
 	announcer string // announcer is the remote address of the last announcement.
 	heard     time.Duration
@@ -250,12 +254,33 @@
 		case admitter.RevokedEffect:
 			revoked = effect
 		case admitter.ForgetEffect:
-			delete(s.attempts, effect.ID)
+			s.forget(effect.ID)
 		}
 	}
 	return revoked
 }
 
+// keep holds an ended attempt's answer for re-attachment. Beyond the bound the
+// oldest answers go; who asks for one of them learns that it may have run.
+func (s *Supervisor) keep(a *attempt) {
+	s.kept = append(s.kept, a)
+	s.keptBytes += a.size()
+	for s.keptBytes > s.cfg.KeepBytes && len(s.kept) > 1 {
+		s.forget(s.kept[0].request.Attempt)
+	}
+}
+
+// forget drops an attempt's answer.
+func (s *Supervisor) forget(id string) {
+	delete(s.attempts, id)
+	i := slices.IndexFunc(s.kept, func(a *attempt) bool { return a.request.Attempt == id })
+	if i < 0 {
+		return
+	}
+	s.keptBytes -= s.kept[i].size()
+	s.kept = slices.Delete(s.kept, i, i+1)
+}
+
 func (s *Supervisor) refuse(effect admitter.RefuseEffect) {
 	a, ok := s.attempts[effect.ID]
 	if !ok {
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -24,7 +24,7 @@
 	t.Cleanup(endpoint.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	s := New(Config{Name: "i1", Controls: []string{"127.0.0.1:1"}, Queue: 8, Drain: time.Second}, exposer.NewLogger(io.Discard, "i1"), exposer.NewHealth())
+	s := New(Config{Name: "i1", Controls: []string{"127.0.0.1:1"}, Queue: 8, Drain: time.Second, KeepBytes: 1000}, exposer.NewLogger(io.Discard, "i1"), exposer.NewHealth())
 	s.base = ctx
 	s.granter = granter.New("i1", -time.Hour)
 	address := strings.TrimPrefix(endpoint.URL, "http://")
@@ -163,3 +163,20 @@
 	defer s.mu.Unlock()
 	assert.Assert(t, !s.granter.MayDispatch(s.now()))
 }
+
+// TestKeptAnswersStayWithinTheirBound answers more than may be kept.
+func TestKeptAnswersStayWithinTheirBound(t *testing.T) {
+	s := serving(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 400)) })
+	for i := range 5 {
+		final(s.submit(s.request(fmt.Sprint("a", i))))
+		for s.Open() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	assert.Equal(t, final(s.submit(s.request("a0"))).Verdict, "may-have-run", "it ran, though its answer is gone")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Assert(t, s.keptBytes <= 1000, "%d bytes kept", s.keptBytes)
+	assert.Equal(t, len(s.kept), 2)
+	assert.Assert(t, s.attempts["a4"] != nil && s.attempts["a0"] == nil)
+}
