Endpoints can announce that they leave

Cause: only the side process could be stopped in a planned way; an endpoint that was stopped by its own operator looked like a crash. Ruled out: taking an unload order for the permission to stop, which plain services never get. Change: an announcement says that the endpoint leaves; the side process starts a planned stop for it and ends it when another incarnation comes. The fake endpoint drains on SIGTERM and logs work that comes later than four seconds. Before: no such test.

--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -53,6 +54,61 @@
 	assert.Assert(t, strings.Contains(string(data), `msg="stop forced"`) && strings.Contains(string(data), "cut=1"), string(data))
 }
 
+// TestLeavingEndpointGetsNoNewWork stops endpoints, a model engine's and a
+// service's, under load: nothing is cut, nothing new comes after a few seconds,
+// and the group comes back without the side process being touched.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	d := harrowQuill()
+	d.services = 2
+	s := start(t, d)
+	s.declare(d, 2)
+	leaving := []string{s.group(d.model + "-0").Members[1] + "-endpoint", "orders-1-endpoint"}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	failures := make(chan string, 1000)
+	for i := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				prompt := fmt.Sprintf("cove %d %d", i, n)
+				if r := s.chat(i%2, d, prompt, 30, true, nil); r.text != expected(prompt, 30) || !r.whole {
+					failures <- fmt.Sprintf("%q: %+v %v", prompt, r.err, r.broken)
+				}
+				if r := s.order(i%2, d, prompt, ""); r.status != 201 {
+					failures <- fmt.Sprintf("order %q: %+v %v", prompt, r.err, r.broken)
+				}
+			}
+		}()
+	}
+	for _, name := range leaving {
+		s.signal(name, syscall.SIGTERM)
+	}
+	for _, name := range leaving {
+		assert.NilError(t, s.awaitEnd(name))
+		data, err := os.ReadFile(s.processes[name].log)
+		assert.NilError(t, err)
+		assert.Assert(t, !strings.Contains(string(data), "work after leaving"), string(data))
+		assert.Assert(t, strings.Contains(string(data), `msg="stop complete" process=`) && strings.Contains(string(data), "cut=0"), string(data))
+	}
+	close(stop)
+	wg.Wait()
+	close(failures)
+	for failure := range failures {
+		t.Error(failure)
+	}
+	for _, name := range leaving {
+		s.launch(s.processes[name])
+	}
+	s.untilServing(2 + d.services)
+}
+
 // TestCutMemberEndsServiceWithoutControl cuts a member off from its leader:
 // the group must stop serving by its own grants, and serve again after.
 func TestCutMemberEndsServiceWithoutControl(t *testing.T) {
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -34,6 +34,7 @@
 const (
 	announceTimeout = time.Second
 	relinkMs        = 50
+	leaveGrace      = 4 * time.Second
 )
 
 // Config is the place and the manners of one fake endpoint.
@@ -65,6 +66,10 @@
 	runs    map[string]int
 	running int
 	stale   int
+	leaving bool
+
+	refusing bool // refusing is set when a leaving endpoint takes no more work.
+	late     int  // late counts the work that came after that.
 }
 
 // New returns a fake endpoint; Run makes it announce itself.
@@ -106,13 +111,40 @@
 	return every
 }
 
+// Open returns how many calls run, which a stop would cut.
+func (e *Endpoint) Open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
+// Drain announces that the endpoint leaves, and returns when nothing runs and
+// the time has passed within which new work may still come.
+func (e *Endpoint) Drain(ctx context.Context) {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	grace := time.NewTimer(leaveGrace)
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	e.refusing = true
+	e.mu.Unlock()
+	for e.Open() > 0 && ctx.Err() == nil {
+		time.Sleep(relinkMs * time.Millisecond)
+	}
+}
+
 func (e *Endpoint) announcement() (messenger.Announcement, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a := messenger.Announcement{
 		Instance: e.cfg.Name, Address: e.cfg.Address, ModelEngine: e.cfg.Service == "", Service: e.cfg.Service,
 		ChecksFencing: e.cfg.ChecksFencing, Parallel: e.cfg.Parallel, Started: e.started,
-		FencingNumber: e.order.FencingNumber, Rank: e.order.Rank, Running: e.running, StepMs: int(e.cfg.Step / time.Millisecond),
+		FencingNumber: e.order.FencingNumber, Rank: e.order.Rank, Running: e.running, Leaving: e.leaving, StepMs: int(e.cfg.Step / time.Millisecond),
 	}
 	if !time.Now().Before(e.readyAt) {
 		a.Loaded = e.loaded
--- a/internal/faker/serve.go
+++ b/internal/faker/serve.go
@@ -72,6 +72,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs[r.Header.Get("X-Request-Id")]++
+	if e.refusing {
+		e.late++
+		e.log.Error("work after leaving", "request", r.Header.Get("X-Request-Id"))
+	}
 	e.running++
 	return e.crashed
 }
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -132,6 +132,8 @@
 		m.running = msg.Count
 	case LeaveMsg:
 		m.leave(now)
+	case StayMsg:
+		m.leaving = false
 	case TickMsg:
 		m.alone = msg.Alone
 	}
--- a/internal/granter/messages.go
+++ b/internal/granter/messages.go
@@ -29,6 +29,9 @@
 // LeaveMsg starts a planned stop.
 type LeaveMsg struct{}
 
+// StayMsg ends a planned stop: the endpoint has come back.
+type StayMsg struct{}
+
 // TickMsg tells that time has passed.
 type TickMsg struct {
 	Alone bool // Alone means that control was not heard for long.
@@ -41,6 +44,7 @@
 func (WithdrawMsg) granterMsg() {}
 func (RunningMsg) granterMsg()  {}
 func (LeaveMsg) granterMsg()    {}
+func (StayMsg) granterMsg()     {}
 func (TickMsg) granterMsg()     {}
 
 // Effect is an output of the machine.
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -16,6 +16,9 @@
 	// Instance corresponds to the JSON schema field "instance".
 	Instance string `json:"instance,omitempty,omitzero"`
 
+	// Leaving corresponds to the JSON schema field "leaving".
+	Leaving bool `json:"leaving,omitempty,omitzero"`
+
 	// Loaded corresponds to the JSON schema field "loaded".
 	Loaded string `json:"loaded,omitempty,omitzero"`
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -209,6 +209,9 @@
 	mux := http.NewServeMux()
 	endpoint.Register(mux)
 	p.actor(ctx, endpoint.Run)
+	if !s.Has(configurer.RoleSide) {
+		p.drainers = append(p.drainers, endpoint)
+	}
 	return p.listen(ctx, e.Listen, mux)
 }
 
--- a/internal/supervisor/serve.go
+++ b/internal/supervisor/serve.go
@@ -99,6 +99,7 @@
 	}
 	s.heard = s.now()
 	s.announced = announcement
+	s.noteLeaving()
 	s.health.SetReady("endpoint", true)
 	s.update(granter.EndpointMsg{Endpoint: granter.Endpoint{
 		Up: true, Started: announcement.Started, Loaded: announcement.Loaded, FencingNumber: announcement.FencingNumber,
@@ -109,6 +110,21 @@
 	return messenger.AnnouncementAnswer{EveryMs: int(announceEvery / time.Millisecond)}
 }
 
+// noteLeaving starts a planned stop when the endpoint says that it leaves, and
+// ends it when another incarnation of the endpoint has come; mu is held.
+func (s *Supervisor) noteLeaving() {
+	leaving := s.stopping || s.announced.Leaving
+	switch {
+	case leaving && !s.granter.Leaving():
+		s.log.Info("endpoint leaving", "endpoint", s.announced.Address)
+		s.update(granter.LeaveMsg{})
+		s.syncer.Poke()
+	case !leaving && s.granter.Leaving():
+		s.update(granter.StayMsg{})
+		s.syncer.Poke()
+	}
+}
+
 // revoke answers whether an attempt is certain not to have run, and makes sure
 // that it never will.
 func (s *Supervisor) revoke(_ context.Context, request messenger.RevokeRequest) messenger.RevokeAnswer {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -85,6 +85,7 @@
 	first     time.Duration // first is the smoothed time to the first token.
 	answers   []messenger.RenewAnswer
 	retiring  bool
+	stopping  bool // stopping is set when this process itself leaves.
 }
 
 // New returns a side process; Run starts it.
@@ -131,6 +132,7 @@
 // context ends.
 func (s *Supervisor) Drain(ctx context.Context) {
 	s.mu.Lock()
+	s.stopping = true
 	s.update(granter.LeaveMsg{})
 	s.mu.Unlock()
 	s.health.SetReady("not-draining", false)
