Fake endpoint lingers after leaving, so that late work is seen

Cause: with the announcement ignored TestLeavingEndpointGetsNoNewWork still passed: the endpoint ended at once when nothing ran, before late work could come. Conclusion: the test needed the same care as the code.

--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -35,6 +35,7 @@
 	announceTimeout = time.Second
 	relinkMs        = 50
 	leaveGrace      = 4 * time.Second
+	leaveLinger     = 2 * time.Second
 )
 
 // Config is the place and the manners of one fake endpoint.
@@ -119,22 +120,35 @@
 }
 
 // Drain announces that the endpoint leaves, and returns when nothing runs and
-// the time has passed within which new work may still come.
+// the time has passed within which new work may still come. It lingers for a
+// while after that, so that work which comes too late is seen.
 func (e *Endpoint) Drain(ctx context.Context) {
+	e.setLeaving()
+	sleep(ctx, leaveGrace)
+	e.setRefusing()
+	sleep(ctx, leaveLinger)
+	for e.Open() > 0 && ctx.Err() == nil {
+		sleep(ctx, relinkMs*time.Millisecond)
+	}
+}
+
+func (e *Endpoint) setLeaving() {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.leaving = true
-	e.mu.Unlock()
-	grace := time.NewTimer(leaveGrace)
-	defer grace.Stop()
-	select {
-	case <-grace.C:
-	case <-ctx.Done():
-	}
+}
+
+func (e *Endpoint) setRefusing() {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.refusing = true
-	e.mu.Unlock()
-	for e.Open() > 0 && ctx.Err() == nil {
-		time.Sleep(relinkMs * time.Millisecond)
+}
+
+// sleep waits for a time or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
