Scripted tests where a switched-off mechanism still passed; exit codes

A wrong command or flag exited 1 instead of 2. Conclusion: a random history is no proof of a rare case.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -150,6 +150,26 @@
 	assert.Equal(t, s.runs("orders"), 1)
 }
 
+// TestRunningOrderIsFoundAgainAfterSilence makes the connection go silent while
+// the order runs, which must not be repeated: its answer is fetched over a new
+// connection.
+func TestRunningOrderIsFoundAgainAfterSilence(t *testing.T) {
+	t.Parallel()
+	d := taisetsu()
+	d.instances, d.services, d.first = 2, 1, 5000
+	d.forwarded = []string{"collections-1"}
+	s := start(t, d)
+	s.declare(d, 1)
+	replies := make(chan reply, 1)
+	go func() { replies <- s.order(0, d, "12 bundles", "") }()
+	s.until("the order runs", func() bool { return s.runs(d.service) == 1 })
+	s.forwards["collections-1"].silence()
+	r := <-replies
+	assert.Equal(t, r.status, 201, "%+v", r.err)
+	assert.Assert(t, strings.Contains(r.text, "12 bundles"), r.text)
+	assert.Equal(t, s.runs(d.service), 1)
+}
+
 // TestCrashingRequestIsStoppedEverywhere sends a request that crashes each
 // engine that runs it, again and again through both entries.
 func TestCrashingRequestIsStoppedEverywhere(t *testing.T) {
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -99,6 +99,7 @@
 	step      int
 	forwarded []string // forwarded names sides to put a forwarder before.
 	restart   int
+	first     int // first is the time to an endpoint's first byte in milliseconds.
 
 	forwardControls bool // forwardControls puts a forwarder before each control process.
 }
@@ -179,8 +180,8 @@
 	if service != "" {
 		serviceLine = "service = " + service + "\n"
 	}
-	s.run(name+"-endpoint", endpoint, fmt.Sprintf("[process]\nroles = fake-endpoint\n%s[control]\npeers = %s\n[fake-endpoint]\nlisten = %s\nside = %s\nstep-ms = %d\nrestart-ms = %d\nchecks-fencing = %t\n%s",
-		common, s.peers, endpoint, side, d.step, d.restart, place%2 == 0, serviceLine))
+	s.run(name+"-endpoint", endpoint, fmt.Sprintf("[process]\nroles = fake-endpoint\n%s[control]\npeers = %s\n[fake-endpoint]\nlisten = %s\nside = %s\nstep-ms = %d\nfirst-token-ms = %d\nrestart-ms = %d\nchecks-fencing = %t\n%s",
+		common, s.peers, endpoint, side, d.step, max(d.first, 50), d.restart, place%2 == 0, serviceLine))
 }
 
 // run writes the settings and starts a process.
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -64,16 +64,37 @@
 	return &cli.Command{
 		Name: "papayaseam", Usage: "serve models whose replicas span several instances", Version: Version,
 		Writer: stdout, ErrWriter: stderr, HideVersion: true, ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError: usageError,
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.NArg() > 0 {
+				return errors.Wrapf(ErrUsage, "no command %q", c.Args().First())
+			}
+			return cli.ShowAppHelp(c)
+		},
 		Description: "Exit codes: 0 done, 1 failed, 2 wrong use or settings, 3 ticket refused, 4 outcome unknown (repeat the same command).",
-		Commands: []*cli.Command{
+		Commands: withUsageErrors([]*cli.Command{
 			runCommand(stderr), settingsCommand(stdout), ticketCommand(stdout), statusCommand(stdout),
 			instanceCommand(stdout), reportCommand(stdout), quickstartCommand(stdout, stderr),
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				_, err := fmt.Fprintln(stdout, "papayaseam", Version)
 				return err
 			}},
-		},
+		}),
+	}
+}
+
+// usageError marks a mistake in the flags of a command.
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return errors.Mark(err, ErrUsage)
+}
+
+// withUsageErrors gives all commands the same handling of wrong flags.
+func withUsageErrors(commands []*cli.Command) []*cli.Command {
+	for _, c := range commands {
+		c.OnUsageError = usageError
+		withUsageErrors(c.Commands)
 	}
+	return commands
 }
 
 func controlFlag() cli.Flag {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -309,3 +309,23 @@
 	m.Update(ReceiveMsg{messenger.ReplicaMessage{Kind: KindAppendAnswer, From: "b", To: "a", Term: 4, Index: 3}})
 	assert.Equal(t, m.Commit(), 3)
 }
+
+// TestVoteSurvivesARestart has a replica vote, restart from its disk, and be
+// asked by another candidate of the same term.
+func TestVoteSurvivesARestart(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	voter := c.ids()[0]
+	ask := func(candidate string) {
+		c.step(voter, ReceiveMsg{messenger.ReplicaMessage{Kind: KindVote, From: candidate, To: voter, Term: 5}}, -1)
+	}
+	ask("x")
+	c.start(voter)
+	ask("y")
+	granted := 0
+	for _, message := range c.network {
+		if message.Kind == KindVoteAnswer && !message.Reject {
+			granted++
+		}
+	}
+	assert.Equal(t, granted, 1, "the replica voted twice in a term")
+}
