--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -387,3 +387,26 @@
 	}
 	assert.Assert(t, !leader.machine.Complete(w.clock(leader)))
 }
+
+// TestLateAnswerDoesNotStretchTheGrant holds a member's answer back for two
+// seconds: the grant counts from the sending of the renewal.
+func TestLateAnswerDoesNotStretchTheGrant(t *testing.T) {
+	w := newWorld(t, 2)
+	leader, member := w.nodes[0], w.nodes[1]
+	w.assign("a", 0, 1)
+	w.settle(6 * time.Second)
+	for len(w.letters) == 0 {
+		w.pass(50 * time.Millisecond)
+	}
+	w.deliver(0)
+	for range 40 {
+		w.pass(50 * time.Millisecond)
+	}
+	w.deliver(slices.IndexFunc(w.letters, func(l letter) bool { return l.renewed != nil }))
+	w.letters = nil
+	for range 40 {
+		w.pass(50 * time.Millisecond)
+		serving := leader.machine.Complete(w.clock(leader))
+		assert.Assert(t, !serving || member.machine.promised(w.clock(member)), "at %v the member is free while its leader serves", w.now)
+	}
+}
