--- a/e2e/domain_test.go
+++ b/e2e/domain_test.go
@@ -1,10 +1,15 @@
 package e2e
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"sync"
 	"testing"
+	"time"
+
+	"papayaseam/internal/messenger"
+	"papayaseam/internal/transporter"
 
 	"gotest.tools/v3/assert"
 )
@@ -46,6 +51,23 @@
 	})
 }
 
+// checkNotStale reads the model's version directly from a control process that
+// nobody else reaches: it may refuse, but must not answer with an older one.
+func (s *system) checkNotStale(name string, d deployment, version string) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var response messenger.SyncResponse
+	if transporter.NewClient().Get(ctx, "http://"+s.processes[name].address+"/v1/objects", &response) != nil {
+		return
+	}
+	for _, object := range response.Objects {
+		if object.Name == d.model && object.Model != nil {
+			assert.Equal(s.t, object.Model.Version, version, "%s answered with an older state", name)
+		}
+	}
+}
+
 // TestHalfCutControlLeaderIsReplaced lets nothing reach the control leader any
 // more, while it still reaches all others and believes it leads.
 func TestHalfCutControlLeaderIsReplaced(t *testing.T) {
@@ -58,6 +80,7 @@
 	s.forwards[former].setCut(true)
 	s.accept(ticketText(2, "hana", d, 1))
 	s.until("another one leads", func() bool { return s.leader() != former })
+	s.checkNotStale(former, d, "v2")
 	s.accept(ticketText(3, "hana", d, 1))
 	s.forwards[former].setCut(false)
 	s.accept(ticketText(4, "hana", d, 1))
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -191,6 +191,11 @@
 	}
 	assert.Assert(t, crashes <= 2, "%d crashes", crashes)
 	s.untilServing(2 + d.services)
+	for i, hold := range s.status().Holds {
+		out, code := s.submit(fmt.Sprintf("[ticket]\nnumber = %d\nauthor = hana\nreason = engine mended\n[remove hold %s]\n", 10+i, hold))
+		assert.Equal(t, code, 0, out)
+	}
+	assert.Equal(t, len(s.status().Holds), 0)
 	r := s.chat(0, d, "an honest verse", 10, false, nil)
 	assert.Equal(t, r.text, expected("an honest verse", 10))
 }
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -28,7 +28,7 @@
 	}
 	e.number = order.FencingNumber
 	e.loaded, e.group = "", ""
-	if order.Action == "load" {
+	if order.Action != ActionUnload {
 		e.loaded = fmt.Sprintf("%s:%s:%d", order.Model, order.Version, order.Rank)
 		e.group = order.Group
 	}
--- a/internal/granter/member.go
+++ b/internal/granter/member.go
@@ -7,6 +7,13 @@
 	"papayaseam/internal/messenger"
 )
 
+// Actions of an order to an endpoint.
+const (
+	ActionLoad       = "load"        // ActionLoad fetches weights and takes a rank of a group.
+	ActionChangeRole = "change-role" // ActionChangeRole takes a rank of a group with the weights at hand.
+	ActionUnload     = "unload"      // ActionUnload leaves the group and drops the weights.
+)
+
 // LoadName names what an endpoint must have loaded for a part in a group.
 func LoadName(a Assignment) string {
 	return fmt.Sprintf("%s:%s:%d", a.Spec.Model, a.Spec.Version, a.Rank)
@@ -44,7 +51,7 @@
 	if !m.endpoint.Up || m.endpoint.Loaded == "" || m.promised(now) {
 		return
 	}
-	m.issue(now, order{epoch: m.endpoint.FencingNumber}, messenger.Order{Action: "unload", FencingNumber: m.endpoint.FencingNumber})
+	m.issue(now, order{epoch: m.endpoint.FencingNumber}, messenger.Order{Action: ActionUnload, FencingNumber: m.endpoint.FencingNumber})
 }
 
 // orderLoad orders the endpoint to take its part. Weights are fetched only with
@@ -56,8 +63,12 @@
 	if !m.endpoint.Up || m.fit(m.held) || !mayLoad {
 		return
 	}
+	action := ActionLoad
+	if m.endpoint.Loaded == LoadName(m.held) {
+		action = ActionChangeRole
+	}
 	m.issue(now, order{epoch: spec.Epoch, loaded: LoadName(m.held)}, messenger.Order{
-		Action: "load", Group: m.held.Group, Model: spec.Model, Version: spec.Version, Adapters: spec.Adapters,
+		Action: action, Group: m.held.Group, Model: spec.Model, Version: spec.Version, Adapters: spec.Adapters,
 		Rank: m.held.Rank, Size: len(spec.Members), FencingNumber: spec.Epoch, LoadMs: spec.LoadMs,
 	})
 }
--- a/internal/supervisor/execute.go
+++ b/internal/supervisor/execute.go
@@ -225,9 +225,7 @@
 	defer s.mu.Unlock()
 	if s.announced.Started == effect.started {
 		s.log.Warn("endpoint dead", "endpoint", effect.address)
-		s.update(granter.EndpointMsg{})
-		s.announced = messenger.Announcement{}
-		s.syncer.Poke()
+		s.endpointLost()
 	}
 	return false
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -166,8 +166,7 @@
 	now := s.now()
 	if s.announced.Started != "" && now-s.heard > announceTimeout {
 		s.log.Warn("endpoint silent", "endpoint", s.announced.Address)
-		s.update(granter.EndpointMsg{})
-		s.announced = messenger.Announcement{}
+		s.endpointLost()
 	}
 	age, heard := s.syncer.Age()
 	s.update(granter.TickMsg{Alone: heard && age > aloneAfter})
@@ -175,6 +174,14 @@
 	s.startWaiting()
 }
 
+// endpointLost notes that the endpoint is gone; mu is held.
+func (s *Supervisor) endpointLost() {
+	s.update(granter.EndpointMsg{})
+	s.announced = messenger.Announcement{}
+	s.health.SetReady("endpoint", false)
+	s.syncer.Poke()
+}
+
 // update feeds the membership and executes its effects; mu is held.
 func (s *Supervisor) update(msg granter.Msg) {
 	now := s.now()
