--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -99,7 +99,8 @@
 	step      int
 	forwarded []string // forwarded names sides to put a forwarder before.
 	restart   int
-	first     int // first is the time to an endpoint's first byte in milliseconds.
+	slow      string // slow names an instance whose endpoint takes five times as long for a token.
+	first     int    // first is the time to an endpoint's first byte in milliseconds.
 
 	forwardControls bool // forwardControls puts a forwarder before each control process.
 }
@@ -176,12 +177,16 @@
 	}
 	common := fmt.Sprintf("name = %s\nregion = %s\nfailure-domain = %s\nfabric-domain = fabric-1\n", name, d.region, s.places[place%3])
 	s.run(name, side, fmt.Sprintf("[process]\nroles = side\n%slisten = %s\nadvertise = %s\n[control]\npeers = %s\n[side]\n", common, side, advertise, s.peers))
+	step := d.step
+	if name == d.slow {
+		step *= 5
+	}
 	serviceLine := ""
 	if service != "" {
 		serviceLine = "service = " + service + "\n"
 	}
 	s.run(name+"-endpoint", endpoint, fmt.Sprintf("[process]\nroles = fake-endpoint\n%s[control]\npeers = %s\n[fake-endpoint]\nlisten = %s\nside = %s\nstep-ms = %d\nfirst-token-ms = %d\nrestart-ms = %d\nchecks-fencing = %t\n%s",
-		common, s.peers, endpoint, side, d.step, max(d.first, 50), d.restart, place%2 == 0, serviceLine))
+		common, s.peers, endpoint, side, step, max(d.first, 50), d.restart, place%2 == 0, serviceLine))
 }
 
 // run writes the settings and starts a process.
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -109,6 +110,35 @@
 	s.untilServing(2 + d.services)
 }
 
+// TestStragglerIsReplacedWhileItsGroupServes starts one endpoint that is five
+// times as slow as the others: it is replaced by the free instance, and every
+// request meanwhile is answered.
+func TestStragglerIsReplacedWhileItsGroupServes(t *testing.T) {
+	t.Parallel()
+	d := taisetsu()
+	d.services, d.slow = 1, "instance-2"
+	s := start(t, d)
+	s.declare(d, 2)
+	held := func() bool {
+		for _, group := range s.status().Groups {
+			if slices.Contains(group.Members, d.slow) {
+				return true
+			}
+		}
+		return false
+	}
+	assert.Assert(t, held())
+	n := 0
+	s.until("the straggler is replaced", func() bool {
+		n++
+		prompt := fmt.Sprintf("stain %d", n)
+		r := s.chat(n%2, d, prompt, 3, false, nil)
+		assert.Equal(t, r.text, expected(prompt, 3), "%+v", r.err)
+		return !held()
+	})
+	s.untilServing(2 + d.services)
+}
+
 // TestCutMemberEndsServiceWithoutControl cuts a member off from its leader:
 // the group must stop serving by its own grants, and serve again after.
 func TestCutMemberEndsServiceWithoutControl(t *testing.T) {
