What a read of the whole change found: work done twice, twins and dead code

Change: the sample is drawn only to be asked; status calls the count of the burn report; the unread field, methods and counters are gone.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -109,9 +109,6 @@
 // Running returns the number of attempts at the endpoint.
 func (m *Machine) Running() int { return m.running }
 
-// Queued returns the number of attempts that wait.
-func (m *Machine) Queued() int { return m.queued }
-
 // Ahead returns the number of waiting attempts that one of an organisation
 // within its share would wait for.
 func (m *Machine) Ahead() int {
@@ -141,15 +138,6 @@
 // Service returns the estimate of an attempt's running time.
 func (m *Machine) Service() time.Duration { return m.service }
 
-// Wait returns the time an attempt submitted now would wait for its start, for
-// an organisation that has nothing queued.
-func (m *Machine) Wait() time.Duration {
-	if m.running+m.queued < m.parallel {
-		return 0
-	}
-	return m.service * time.Duration(m.queued+1) / time.Duration(max(1, m.parallel))
-}
-
 // Fingerprints returns those of the attempts that run now, sorted.
 func (m *Machine) Fingerprints() []string {
 	var list []string
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -367,19 +367,21 @@
 	}
 }
 
-// compact takes a snapshot once the log has grown by as much as the state
+// snapshotIfDue returns the state once the log has grown by as much as the state
 // holds, so that the cost per entry stays the same however many claims stand.
-func (c *Controller) compact() error {
+func (c *Controller) snapshotIfDue() ([]byte, error) {
 	c.mu.Lock()
-	due := c.machine.LogLength() >= max(compactEntries, c.registrar.Claims())
-	c.mu.Unlock()
-	if !due {
-		return nil
+	defer c.mu.Unlock()
+	if c.machine.LogLength() < max(compactEntries, c.registrar.Claims()) {
+		return nil, nil
 	}
-	c.mu.Lock()
-	data, err := c.registrar.Snapshot()
-	c.mu.Unlock()
-	if err != nil {
+	return c.registrar.Snapshot()
+}
+
+// compact replaces the log by a snapshot when one is due.
+func (c *Controller) compact() error {
+	data, err := c.snapshotIfDue()
+	if data == nil {
 		return err
 	}
 	var saves []replicator.SaveEffect
--- a/internal/controller/operate.go
+++ b/internal/controller/operate.go
@@ -132,30 +132,15 @@
 	}
 	slices.SortFunc(report.Processes, func(a, b messenger.ProcessState) int { return strings.Compare(a.Instance, b.Instance) })
 	for _, object := range c.registrar.Objects(registrar.KindGroup) {
-		state := groupState(object, loads[object.Name])
-		if state.Active && !state.Ready && state.Model != "" {
-			report.StrandedAccelerators += c.healthy(state.Members, now)
-		}
-		report.Groups = append(report.Groups, state)
+		report.Groups = append(report.Groups, groupState(object, loads[object.Name]))
 	}
+	_, report.StrandedAccelerators = strandedAccelerators(c.view())
 	for _, object := range c.registrar.Objects(registrar.KindHold) {
 		report.Holds = append(report.Holds, object.Name)
 	}
 	return report
 }
 
-// healthy counts the members whose endpoint is up; mu is held.
-func (c *Controller) healthy(members []string, now time.Time) int {
-	n := 0
-	for _, name := range members {
-		entry, ok := c.present[name]
-		if ok && entry.status.EndpointUp && now.Sub(entry.at) < aliveFor {
-			n++
-		}
-	}
-	return n
-}
-
 func groupState(object messenger.Object, load messenger.GroupLoad) messenger.GroupState {
 	group := object.Group
 	current := load.Epoch == group.Epoch
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -66,11 +66,9 @@
 	readyAt time.Time
 	runs    map[string]int
 	running int
-	stale   int
 	leaving bool
 
 	refusing bool // refusing is set when a leaving endpoint takes no more work.
-	late     int  // late counts the work that came after that.
 }
 
 // New returns a fake endpoint; Run makes it announce itself.
@@ -171,11 +169,8 @@
 func (e *Endpoint) obey(order messenger.Order) messenger.OrderAnswer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if order.FencingNumber < e.order.FencingNumber {
-		e.stale++
-		if e.cfg.ChecksFencing {
-			return messenger.OrderAnswer{FencingNumber: e.order.FencingNumber, Message: "the fencing number is old"}
-		}
+	if e.cfg.ChecksFencing && order.FencingNumber < e.order.FencingNumber {
+		return messenger.OrderAnswer{FencingNumber: e.order.FencingNumber, Message: "the fencing number is old"}
 	}
 	e.order = order
 	if order.Action == "unload" {
--- a/internal/faker/serve.go
+++ b/internal/faker/serve.go
@@ -73,7 +73,6 @@
 	defer e.mu.Unlock()
 	e.runs[r.Header.Get("X-Request-Id")]++
 	if e.refusing {
-		e.late++
 		e.log.Error("work after leaving", "request", r.Header.Get("X-Request-Id"))
 	}
 	e.running++
--- a/internal/forwarder/choose.go
+++ b/internal/forwarder/choose.go
@@ -63,14 +63,10 @@
 func (x *run) pick(ctx context.Context, query router.Query, mayAsk bool) (router.Choice, bool) {
 	x.mu.Lock()
 	choice, sure, ok := x.router.Choose(x.now(), query)
-	sample := x.router.Sample(x.now(), query)
-	if !ok {
-		sample = x.router.Unheard(query)
-	}
+	sample := x.sample(query, sure, ok, mayAsk)
 	x.mu.Unlock()
-	if ask := (ok && !sure && len(sample) > 1) || (!ok && mayAsk && len(sample) > 0); ask {
-		best, found := x.ask(ctx, query, sample)
-		if found {
+	if len(sample) > 0 {
+		if best, found := x.ask(ctx, query, sample); found {
 			choice, ok = best, true
 		}
 	}
@@ -83,6 +79,22 @@
 	return choice, true
 }
 
+// sample returns the leaders to ask after a choice, none where there is nothing
+// to find out; mu is held.
+func (x *run) sample(query router.Query, sure, ok, mayAsk bool) []router.Choice {
+	switch {
+	case !ok && mayAsk:
+		return x.router.Unheard(query)
+	case !ok || sure:
+		return nil
+	}
+	sample := x.router.Sample(x.now(), query)
+	if len(sample) < 2 {
+		return nil
+	}
+	return sample
+}
+
 // ask has the leaders of a sample report their load and chooses among them;
 // those that do not answer in time are left out.
 func (x *run) ask(ctx context.Context, query router.Query, sample []router.Choice) (router.Choice, bool) {
--- a/internal/granter/member.go
+++ b/internal/granter/member.go
@@ -59,12 +59,13 @@
 // instance that control can not reach does without.
 func (m *Machine) orderLoad(now time.Duration) {
 	spec := m.held.Spec
-	mayLoad := spec.MayLoad || m.alone || m.endpoint.Loaded == LoadName(m.held)
+	atHand := m.endpoint.Loaded == LoadName(m.held)
+	mayLoad := spec.MayLoad || m.alone || atHand
 	if !m.endpoint.Up || m.fit(m.held) || !mayLoad {
 		return
 	}
 	action := ActionLoad
-	if m.endpoint.Loaded == LoadName(m.held) {
+	if atHand {
 		action = ActionChangeRole
 	}
 	m.issue(now, order{epoch: spec.Epoch, loaded: LoadName(m.held)}, messenger.Order{
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -417,9 +417,6 @@
 
 	// ServiceMs corresponds to the JSON schema field "service-ms".
 	ServiceMs int `json:"service-ms,omitempty,omitzero"`
-
-	// WaitMs corresponds to the JSON schema field "wait-ms".
-	WaitMs int `json:"wait-ms,omitempty,omitzero"`
 }
 
 // A group's committed membership under its epoch.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -389,6 +389,6 @@
 		Group: lead.Group, Epoch: lead.Spec.Epoch, Incarnation: s.token.At(s.now()), Ready: s.granter.Complete(s.now()),
 		Draining: s.granter.Draining(), Running: s.admitter.Running(), Queued: s.admitter.Ahead(),
 		Parallel: s.admitter.Parallel(), FirstTokenMs: int(s.first / time.Millisecond),
-		WaitMs: int(s.admitter.Wait() / time.Millisecond), ServiceMs: int(s.admitter.Service() / time.Millisecond),
+		ServiceMs: int(s.admitter.Service() / time.Millisecond),
 	}
 }
