A request whose leader is gone goes elsewhere at once, free of budget

An entry looked 6 s for an attempt at a leader whose process was gone. Several requests were sent to the same dead or incomplete group one after the other, since the end of an attempt said nothing to the router. Each such try that never left took a retry from the organisation's budget, so that the one request that needed one found it empty.

Ruled out: a longer wait in the test (the request had ended, not hung); a larger budget (hides the waste); a trickle of budget per second (with four requests a second at an entry it breaks the 1.1 bound while a domain is dark); waiting for budget (a small organisation earns none while it waits).

Change: the shell tells a refused connection (no process listens) from other broken ones; for a repeatable request without a key that ends the search, as what the leader kept in memory is gone with it. An attempt whose end tells that its group does not serve is passed to the router. The first attempt at a group of which no byte left needs no budget; a second one at the same group does. TestRefusedAttemptNeedsBudget took an unreachable group for a refusal; it now checks a refusal by the leader, and a new test checks the unreachable case.

--- a/bounds/fake_test.go
+++ b/bounds/fake_test.go
@@ -304,13 +304,13 @@
 	return firstToken
 }
 
-// refused tries elsewhere within the budget.
+// refused tries elsewhere within the budget, which a dark group does not touch.
 func (s *sim) refused(e *entry, g *group, r *request) {
 	r.excluded[g.name] = true
 	if g.dark {
 		e.router.Update(s.now, router.RefusedMsg{Group: g.name, Unreachable: true})
 	}
-	if !e.budget.Spend(r.organisation) {
+	if !g.dark && !e.budget.Spend(r.organisation) {
 		r.state = "refused"
 		return
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -77,7 +77,7 @@
 	tries     int
 	excluded  map[string]bool
 	heard     bool // heard is set once the leader answered the current attempt.
-	resuming  bool // resuming is set while an attempt that was taken is replaced.
+	free      bool // free is set while the next try needs no retry budget.
 	mayHave   bool // mayHave is set once any attempt may have run.
 	foreign   bool // foreign marks an attempt of an earlier request with the same key.
 	lastKind  string
@@ -149,7 +149,7 @@
 		return
 	}
 	m.phase = choosing
-	m.emit(ChooseEffect{Excluded: m.excludedGroups(), Retry: m.tries > 0 && !m.resuming})
+	m.emit(ChooseEffect{Excluded: m.excludedGroups(), Retry: m.tries > 0 && !m.free})
 }
 
 func (m *Machine) excludedGroups() map[string]bool {
@@ -198,7 +198,7 @@
 	m.lostSince = 0
 	m.offset = 0
 	m.heard = false
-	m.resuming = false
+	m.free = false
 	m.emit(SendEffect{Target: m.target, Attempt: m.attempt, Suspect: m.crashes > 0})
 }
 
@@ -312,23 +312,6 @@
 	m.lost(now, "endpoint-crashed", "the endpoint crashed")
 }
 
-// lost goes on after an attempt that may have run: elsewhere for repeatable
-// requests, else with the verdict. Replacing an attempt that a leader had taken
-// needs no retry budget: there is one for each group that dies under it, so that
-// it can not swell.
-func (m *Machine) lost(now time.Duration, kind, message string) {
-	m.mayHave = true
-	m.lastKind, m.lastText = kind, message
-	if m.foreign || !m.request.Repeatable || m.request.Key != "" {
-		m.finish(MayHaveRun, kind, message)
-		return
-	}
-	m.excluded[m.target.Group] = true
-	m.resuming = m.heard
-	m.emit(ResumeEffect{})
-	m.choose(now)
-}
-
 // gone ends the request when its caller has left.
 func (m *Machine) gone() {
 	if m.phase == sending || m.phase == attaching {
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"papayaseam/internal/dispatcher"
 	"papayaseam/internal/messenger"
@@ -88,8 +89,66 @@
 	assert.Assert(t, !lostChoice(m).Retry)
 }
 
+// lastChoice returns the choice among the effects, which comes last.
+func lastChoice(t *testing.T, effects []dispatcher.Effect) dispatcher.ChooseEffect {
+	t.Helper()
+	choose, ok := effects[len(effects)-1].(dispatcher.ChooseEffect)
+	assert.Assert(t, ok, "%T", effects[len(effects)-1])
+	return choose
+}
+
 func TestRefusedAttemptNeedsBudget(t *testing.T) {
 	m := sent(dispatcher.Request{ID: "r", Repeatable: true})
-	effects := m.Update(0, dispatcher.BrokenMsg{})
-	assert.Assert(t, effects[len(effects)-1].(dispatcher.ChooseEffect).Retry)
+	refusal := messenger.Frame{Attempt: "a1", Final: true, Verdict: "not-run", Kind: "overloaded"}
+	assert.Assert(t, lastChoice(t, m.Update(0, dispatcher.FrameMsg{Frame: refusal})).Retry)
+}
+
+// TestAttemptThatNeverLeftNeedsBudgetOnlyAgain lets two groups be unreachable,
+// the first of them twice.
+func TestAttemptThatNeverLeftNeedsBudgetOnlyAgain(t *testing.T) {
+	m := sent(dispatcher.Request{ID: "r"})
+	assert.Assert(t, !lastChoice(t, m.Update(0, dispatcher.BrokenMsg{})).Retry)
+	for _, group := range []string{"h", "g"} {
+		m.Update(0, dispatcher.ChosenMsg{Target: dispatcher.Target{Group: group, Address: group}})
+		choose := lastChoice(t, m.Update(0, dispatcher.BrokenMsg{}))
+		assert.Equal(t, choose.Retry, group == "g", group)
+	}
+}
+
+// refused breaks the connection of a sent attempt; then the leader's process
+// is gone.
+func refused(m *dispatcher.Machine) []dispatcher.Effect {
+	m.Update(0, dispatcher.BrokenMsg{Sent: true})
+	return m.Update(time.Millisecond, dispatcher.BrokenMsg{Sent: true, Refused: true})
+}
+
+func TestRepeatableRequestGoesElsewhereAtOnceWhenTheLeaderIsGone(t *testing.T) {
+	choose := lastChoice(t, refused(sent(dispatcher.Request{ID: "r", Repeatable: true})))
+	assert.Assert(t, choose.Excluded["g"])
+	assert.Assert(t, !choose.Retry)
+}
+
+func TestUnrepeatableRequestLooksForItsAttemptWhenTheLeaderIsGone(t *testing.T) {
+	for _, request := range []dispatcher.Request{{ID: "r"}, {ID: "r", Repeatable: true, Key: "k"}} {
+		m := sent(request)
+		m.Update(0, dispatcher.ClaimedMsg{Answer: messenger.ClaimAnswer{Granted: true}})
+		effects := refused(m)
+		_, ok := effects[0].(dispatcher.AttachEffect)
+		assert.Assert(t, ok, "%T", effects[0])
+	}
+}
+
+// TestLostGroupIsAvoidedByOtherRequests tells the router of a group that ended
+// under a request, so that the entry's others need not find out for themselves.
+func TestLostGroupIsAvoidedByOtherRequests(t *testing.T) {
+	for kind, avoided := range map[string]bool{"group-incomplete": true, "answer-broken": false} {
+		m := sent(dispatcher.Request{ID: "r", Repeatable: true})
+		end := messenger.Frame{Attempt: "a1", Final: true, Verdict: "may-have-run", Kind: kind}
+		found := false
+		for _, effect := range m.Update(0, dispatcher.FrameMsg{Frame: end}) {
+			_, ok := effect.(dispatcher.RefusedEffect)
+			found = found || ok
+		}
+		assert.Equal(t, found, avoided, kind)
+	}
 }
--- a/internal/dispatcher/histories_test.go
+++ b/internal/dispatcher/histories_test.go
@@ -358,7 +358,7 @@
 	for _, c := range w.callers {
 		if c.finish == nil && c.connection == w.packets[i].connection {
 			w.newConnection(c)
-			w.feed(c, dispatcher.BrokenMsg{Sent: true})
+			w.feed(c, dispatcher.BrokenMsg{Sent: true, Refused: rapid.Bool().Draw(w.t, "refused")})
 			return
 		}
 	}
--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -29,6 +29,7 @@
 type BrokenMsg struct {
 	Sent    bool // Sent is false only if no byte of the attempt left.
 	Unknown bool // Unknown means that the leader answered that it does not know the attempt.
+	Refused bool // Refused means that no process listens at the leader's address.
 }
 
 // RevokedMsg answers a RevokeEffect.
--- a/internal/forwarder/choose.go
+++ b/internal/forwarder/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"papayaseam/internal/admitter"
 	"papayaseam/internal/dispatcher"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/router"
@@ -49,12 +50,16 @@
 // noteRefusal keeps requests away from a group that does not serve now. One that
 // is only full for this request may well take another one.
 func (x *run) noteRefusal(effect dispatcher.RefusedEffect) {
-	if effect.Kind == "overloaded" || effect.Kind == "deadline" {
+	unreachable := false
+	switch effect.Kind {
+	case admitter.RefusedOverloaded, admitter.RefusedDeadline:
 		return
+	case dispatcher.KindUnreachable, dispatcher.KindLeaderUnreachable, dispatcher.KindLeaderGone:
+		unreachable = true
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.router.Update(x.now(), router.RefusedMsg{Group: effect.Target.Group, Unreachable: effect.Kind == "unreachable"})
+	x.router.Update(x.now(), router.RefusedMsg{Group: effect.Target.Group, Unreachable: unreachable})
 }
 
 // pick chooses a group. Where the reports leave it open whether there is room,
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -208,7 +208,7 @@
 	case errors.As(err, &status) && status.Status == http.StatusNotFound:
 		return dispatcher.BrokenMsg{Sent: true, Unknown: true}
 	case errors.Is(err, transporter.ErrUnreachable):
-		return dispatcher.BrokenMsg{}
+		return dispatcher.BrokenMsg{Refused: errors.Is(err, transporter.ErrRefused)}
 	case err != nil:
 		return dispatcher.BrokenMsg{Sent: true}
 	}
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,10 @@
 // the message left; check the address and that the process runs.
 var ErrUnreachable = errors.New("the process could not be reached; check its address and that it runs")
 
+// ErrRefused means that no process listens at the address; it comes with
+// ErrUnreachable. Start the process, or wait for its successor.
+var ErrRefused = errors.New("no process listens at the address; start it or wait for its successor")
+
 // ErrBroken means that the exchange ended without a whole answer, so that its
 // outcome is not known.
 var ErrBroken = errors.New("the exchange broke; its outcome is not known")
@@ -81,10 +86,13 @@
 		return nil
 	}
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Mark(err, ErrUnreachable)
+	if !errors.As(err, &op) || op.Op != "dial" {
+		return errors.Mark(err, ErrBroken)
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		err = errors.Mark(err, ErrRefused)
 	}
-	return errors.Mark(err, ErrBroken)
+	return errors.Mark(err, ErrUnreachable)
 }
 
 // Post sends a message and returns the response with an open body; a status of
