The last free place is kept for urgent work

Change: for 30 s after an urgent request, a group of eight places or more keeps its last free one from the same organisation's ordinary work.

--- a/bounds/fake_test.go
+++ b/bounds/fake_test.go
@@ -71,6 +71,7 @@
 type request struct {
 	id           string
 	organisation string
+	priority     int
 	began        time.Duration
 	answer       time.Duration
 	first        time.Duration
@@ -91,6 +92,8 @@
 	queue           int
 	prefixes        int // prefixes is how many beginnings the prompts have; 0 means none in common.
 	affinity        bool
+	priorities      map[string]int    // priorities holds those of the callers that have one.
+	owners          map[string]string // owners names the organisations of callers that are not one of their own.
 }
 
 type sim struct {
@@ -208,7 +211,7 @@
 	sigma := 0.5
 	length := math.Exp(s.rng.NormFloat64()*sigma - sigma*sigma/2)
 	r := &request{
-		id: fmt.Sprint(len(s.requests)), organisation: organisation, began: s.now,
+		id: fmt.Sprint(len(s.requests)), organisation: organisation, began: s.now, priority: s.priorities[organisation],
 		answer: time.Duration(float64(meanAnswer) * length), excluded: map[string]bool{},
 	}
 	if s.prefixes > 0 {
@@ -216,10 +219,18 @@
 	}
 	s.requests = append(s.requests, r)
 	e := s.entries[s.rng.IntN(len(s.entries))]
-	e.budget.Request(organisation)
+	e.budget.Request(s.owner(organisation))
 	s.try(e, r)
 }
 
+// owner is the organisation in whose name a caller sends.
+func (s *sim) owner(caller string) string {
+	if owner, ok := s.owners[caller]; ok {
+		return owner
+	}
+	return caller
+}
+
 // try sends a request to the chosen group, as an entry does.
 func (s *sim) try(e *entry, r *request) {
 	name, ok := s.chooser.choose(s, e, r)
@@ -244,7 +255,7 @@
 	}
 	id := fmt.Sprintf("%s/%d", r.id, r.tries)
 	g.requests[id] = r
-	s.admit(e, g, admitter.SubmitMsg{Attempt: admitter.Attempt{ID: id, Organisation: r.organisation, Deadline: deadline}})
+	s.admit(e, g, admitter.SubmitMsg{Attempt: admitter.Attempt{ID: id, Organisation: s.owner(r.organisation), Deadline: deadline, Priority: r.priority}})
 	s.admit(e, g, admitter.StartMsg{})
 }
 
@@ -310,7 +321,7 @@
 	if g.dark {
 		e.router.Update(s.now, router.RefusedMsg{Group: g.name, Unreachable: true})
 	}
-	if !g.dark && !e.budget.Spend(r.organisation) {
+	if !g.dark && !e.budget.Spend(s.owner(r.organisation)) {
 		r.state = "refused"
 		return
 	}
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -73,6 +73,9 @@
 	virtual float64
 	queue   []*item
 	active  time.Duration // active is until when it counts as active.
+	urgent  bool
+
+	urgentUntil time.Duration // urgentUntil is until when urgent attempts are expected.
 }
 
 // Machine is the admission of one group. It is not safe for concurrent use.
@@ -199,6 +202,9 @@
 	it := &item{Attempt: attempt, since: now, seq: m.seq}
 	m.seq++
 	m.items[attempt.ID] = it
+	if it.Priority > 0 {
+		m.share(it.Organisation).urgentUntil = now + activeFor
+	}
 	if kind, message := m.refusal(now, it); kind != "" {
 		m.refuse(now, it, kind, message)
 		return
@@ -232,7 +238,7 @@
 	for _, queued := range s.queue {
 		ahead += btoi(before(queued, it))
 	}
-	if ahead == 0 && m.running < m.parallel && !m.reserved(s) {
+	if ahead == 0 && m.running < m.parallel && !m.reserved(s) && !m.keptForUrgent(s, it) {
 		return 0
 	}
 	tag := max(s.virtual, m.virtual) + float64(ahead)/float64(s.weight)
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -83,6 +83,30 @@
 	assert.Equal(t, effects[0].(StartEffect).ID, "2")
 }
 
+// TestLastPlaceIsKeptForUrgentWork fills a group after an urgent attempt: the
+// last place stays free for the next urgent one, and for other organisations,
+// until none has come for long.
+func TestLastPlaceIsKeptForUrgentWork(t *testing.T) {
+	m := opened(WithParallel(reserveDivisor))
+	m.Update(0, SubmitMsg{Attempt: Attempt{ID: "u1", Organisation: "o", Priority: 5}})
+	m.Update(0, StartMsg{})
+	m.Update(0, FinishMsg{ID: "u1"})
+	submit(m, 0, "o", reserveDivisor+2)
+	m.Update(0, StartMsg{})
+	assert.Equal(t, m.Running(), reserveDivisor-1)
+	m.Update(0, SubmitMsg{Attempt: Attempt{ID: "u2", Organisation: "o", Priority: 1}})
+	m.Update(0, StartMsg{})
+	assert.Equal(t, m.State("u2"), Running)
+	m.Update(0, FinishMsg{ID: "u2"})
+	m.Update(0, SubmitMsg{Attempt: Attempt{ID: "x", Organisation: "other"}})
+	m.Update(0, StartMsg{})
+	assert.Equal(t, m.State("x"), Running)
+	m.Update(activeFor, FinishMsg{ID: "x"})
+	assert.Equal(t, m.Running(), reserveDivisor-1)
+	m.Update(activeFor, StartMsg{})
+	assert.Equal(t, m.Running(), reserveDivisor, "no urgent attempt came for long")
+}
+
 func TestSuspectsRunOneAtATime(t *testing.T) {
 	m := opened(WithParallel(4))
 	for _, id := range []string{"a", "b", "c"} {
--- a/internal/admitter/start.go
+++ b/internal/admitter/start.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		it := m.firstStartable(s)
-		if it == nil {
+		if it == nil || m.keptForUrgent(s, it) {
 			continue
 		}
 		if best == nil || s.virtual < bestShare.virtual || (s.virtual == bestShare.virtual && it.seq < best.seq) {
@@ -43,6 +43,7 @@
 func (m *Machine) noteShares(now time.Duration) {
 	m.weights = 0
 	for _, s := range m.shares {
+		s.urgent = now < s.urgentUntil
 		if len(s.queue) > 0 || s.running > 0 {
 			s.active = now + activeFor
 		}
@@ -65,6 +66,13 @@
 	return !m.within(s) && s.weight < m.weights && m.parallel-m.running <= m.parallel/reserveDivisor
 }
 
+// keptForUrgent reports whether the last free place is kept for an urgent
+// attempt of the same organisation, which sent some of late. A group with few
+// places keeps none.
+func (m *Machine) keptForUrgent(s *share, it *item) bool {
+	return s.urgent && it.Priority == 0 && m.parallel-m.running <= 1 && m.parallel >= reserveDivisor
+}
+
 // firstStartable skips suspects while another suspect runs, so that a crash
 // never has two suspects.
 func (m *Machine) firstStartable(s *share) *item {
