Plots of routing and overload, from the figures of their own tests

Change: internal/plotter draws lines as SVG with a library; the bounds tests write docs/plots when a folder is given. Ruled out: a program that runs the scenarios again (a second source of the same figures).

--- a/bounds/bounds_test.go
+++ b/bounds/bounds_test.go
@@ -1,10 +1,12 @@
 package bounds
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"papayaseam/internal/admitter"
+	"papayaseam/internal/plotter"
 
 	"gotest.tools/v3/assert"
 )
@@ -24,14 +26,20 @@
 		name    string
 		chooser chooser
 	}{{"ours", ours{}}, {"random", random{}}, {"round-robin", roundRobin{}}, {"least-loaded", leastLoaded{}}}
+	plot := plotter.Plot{Title: "First token, 95 in 100 (ms), by the lag of the load reports"}
+	for _, policy := range policies {
+		plot.Series = append(plot.Series, plotter.Series{Name: policy.name})
+	}
 	for _, lag := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second} {
+		plot.X = append(plot.X, lag.String())
 		late := map[string]time.Duration{}
 		share := map[string]float64{}
-		for _, policy := range policies {
+		for i, policy := range policies {
 			s := newSim(options{groups: 12, entries: 20, lag: lag, chooser: policy.chooser, seed: 1, queue: 1000})
 			s.arrive("o", 0.8*s.capacity(), end)
 			s.run(end + time.Minute)
 			late[policy.name] = percentile(s.firsts("", warm, end), 95)
+			plot.Series[i].Values = append(plot.Series[i].Values, float64(late[policy.name].Milliseconds()))
 			share[policy.name], _ = s.kept("", warm, end)
 			t.Logf("lag %-5v %-12s first token p95 %6d ms, within %v: %.3f, asked %.2f per request", lag, policy.name, late[policy.name].Milliseconds(), promise, share[policy.name], float64(s.asked)/float64(len(s.requests)))
 		}
@@ -42,11 +50,13 @@
 			assert.Assert(t, share["ours"] >= 0.95, "lag %v: %.3f of the first tokens in time", lag, share["ours"])
 		}
 	}
+	draw(t, "routing", plot)
 }
 
 // TestBoundsOverload drives 2 and 4 times the capacity: the rate of requests
 // within the promise stays at 0.9 of its peak, and recovers after.
 func TestBoundsOverload(t *testing.T) {
+	plot := plotter.Plot{Title: "First tokens in time (requests/s) by the offered load", Series: []plotter.Series{{Name: "in time"}, {Name: "offered"}}}
 	goodput := func(times float64) (during, after float64) {
 		s := newSim(options{groups: 6, entries: 10, lag: time.Second, chooser: ours{}, seed: 2, queue: 64, deadline: promise})
 		s.arrive("o", times*s.capacity(), 80*time.Second)
@@ -54,6 +64,9 @@
 		s.run(end + time.Minute)
 		_, during = s.kept("", warm, 80*time.Second)
 		after, _ = s.kept("", 85*time.Second, end)
+		plot.X = append(plot.X, fmt.Sprintf("%.1f times", times))
+		plot.Series[0].Values = append(plot.Series[0].Values, during)
+		plot.Series[1].Values = append(plot.Series[1].Values, times*s.capacity())
 		t.Logf("%.1f times the capacity: %.2f requests/s within the promise; 5 s after: %.3f in time", times, during, after)
 		return during, after
 	}
@@ -67,6 +80,7 @@
 		assert.Assert(t, during >= 0.9*peak, "%.1f times: %.2f of a peak of %.2f", times, during, peak)
 		assert.Assert(t, after >= 0.95, "%.1f times: %.3f in time after the overload", times, after)
 	}
+	draw(t, "overload", plot)
 }
 
 // TestBoundsFairness lets one of ten equal organisations send ten times its
