--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -7,13 +7,16 @@
 //	state, err := journal.Load()
 //	err = journal.Save(effects) // synced on return
 //
+// Every value carries a checksum and a tail record tells where the log ends, so
+// that a flipped bit or a lost page is reported as damage on opening and never
+// taken for a shorter or another history.
+//
 // A save that fails leaves the file as it was before; the caller must stop,
 // since the replica can no longer keep its promises.
 package journaler
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"slices"
@@ -37,6 +40,8 @@
 // and start the process again, so that it rejoins as a new replica.
 var ErrDamaged = errors.New("the journal is damaged; remove the data folder and let the process rejoin as a new replica")
 
+var buckets = [][]byte{bucketState, bucketLog, bucketSeen}
+
 var (
 	bucketState = []byte("state")
 	bucketLog   = []byte("log")
@@ -45,6 +50,8 @@
 	keyVote     = []byte("vote")
 	keySnapshot = []byte("snapshot")
 	keyIdentity = []byte("identity")
+	keyFormat   = []byte("format")
+	keyTail     = []byte("tail")
 )
 
 // Journal is the durable state of one replica.
@@ -56,42 +63,39 @@
 		return nil, errors.Wrapf(err, "create the data folder; check the rights on %s", filepath.Dir(folder))
 	}
 	file := filepath.Join(folder, fileName)
-	if err := checkSize(file); err != nil {
+	if err := checkFile(file); err != nil {
 		return nil, err
 	}
-	db, err := bbolt.Open(file, fileMode, &bbolt.Options{Timeout: lockTimeout})
+	db, err := openFile(file, false)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "open the journal"), ErrDamaged)
+		return nil, err
 	}
 	j := &Journal{db: db}
-	err = db.Update(func(tx *bbolt.Tx) error {
-		for _, name := range [][]byte{bucketState, bucketLog, bucketSeen} {
+	if err := j.prepare(); err != nil {
+		_ = db.Close()
+		return nil, err
+	}
+	return j, nil
+}
+
+// openFile opens the file; the library panics on some damage and then keeps its
+// lock until the process ends.
+func openFile(file string, readOnly bool) (db *bbolt.DB, err error) {
+	defer recoverFault(&err)()
+	db, err = bbolt.Open(file, fileMode, &bbolt.Options{Timeout: lockTimeout, ReadOnly: readOnly})
+	return db, markDamaged(errors.Wrap(err, "open the journal"))
+}
+
+// prepare creates the buckets of a new file and seals the values of a file that
+// was written before they had checksums.
+func (j *Journal) prepare() error {
+	return j.update(func(tx *bbolt.Tx) error {
+		for _, name := range buckets {
 			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
 				return err
 			}
 		}
-		return nil
-	})
-	return j, errors.Wrap(err, "prepare the journal; check that the disk has room")
-}
-
-// checkSize finds a file that was cut short before its missing pages are
-// touched: the newest sound meta page tells how long the file must be.
-func checkSize(file string) error {
-	info, err := os.Stat(file)
-	if err != nil {
-		return nil
-	}
-	db, err := bbolt.Open(file, fileMode, &bbolt.Options{Timeout: lockTimeout, ReadOnly: true})
-	if err != nil {
-		return errors.Mark(errors.Wrap(err, "open the journal"), ErrDamaged)
-	}
-	defer func() { _ = db.Close() }()
-	return db.View(func(tx *bbolt.Tx) error {
-		if tx.Size() <= info.Size() {
-			return nil
-		}
-		return errors.Mark(errors.Newf("the journal is cut short: %d of %d bytes", info.Size(), tx.Size()), ErrDamaged)
+		return upgrade(tx)
 	})
 }
 
@@ -102,8 +106,7 @@
 func (j *Journal) Identity() string {
 	var identity string
 	_ = j.db.View(func(tx *bbolt.Tx) error {
-		identity = string(tx.Bucket(bucketState).Get(keyIdentity))
-		return nil
+		return getJSON(tx.Bucket(bucketState), keyIdentity, &identity)
 	})
 	return identity
 }
@@ -111,10 +114,17 @@
 // Found gives a new disk its identity and first snapshot.
 func (j *Journal) Found(identity string, snapshot messenger.Snapshot) error {
 	return j.update(func(tx *bbolt.Tx) error {
-		if err := tx.Bucket(bucketState).Put(keyIdentity, []byte(identity)); err != nil {
+		state := tx.Bucket(bucketState)
+		if err := putJSON(state, keyIdentity, identity); err != nil {
+			return err
+		}
+		if err := putJSON(state, keySnapshot, snapshot); err != nil {
 			return err
 		}
-		return putJSON(tx.Bucket(bucketState), keySnapshot, snapshot)
+		if err := putJSON(state, keyVote, messenger.VoteState{}); err != nil {
+			return err
+		}
+		return saveTail(tx)
 	})
 }
 
@@ -123,7 +133,12 @@
 	if j.Seen(replica) {
 		return nil
 	}
-	return j.update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketSeen).Put([]byte(replica), []byte{1}) })
+	return j.update(func(tx *bbolt.Tx) error {
+		if err := putJSON(tx.Bucket(bucketSeen), []byte(replica), true); err != nil {
+			return err
+		}
+		return saveTail(tx)
+	})
 }
 
 // Seen reports whether a replica was ever heard.
@@ -138,50 +153,35 @@
 
 // Load returns the durable state.
 func (j *Journal) Load() (state replicator.State, err error) {
-	defer func() {
-		if fault := recover(); fault != nil {
-			err = errors.Mark(errors.Newf("read the journal: %v", fault), ErrDamaged)
-		}
-	}()
+	defer recoverFault(&err)()
 	err = j.db.View(func(tx *bbolt.Tx) error {
-		if err := getJSON(tx.Bucket(bucketState), keyVote, &state.Vote); err != nil {
-			return err
-		}
-		if err := getJSON(tx.Bucket(bucketState), keySnapshot, &state.Snapshot); err != nil {
-			return err
-		}
-		return tx.Bucket(bucketLog).ForEach(func(_, value []byte) error {
-			var entry messenger.Entry
-			if err := json.Unmarshal(value, &entry); err != nil {
-				return err
-			}
-			if entry.Index > state.Snapshot.Index {
-				state.Entries = append(state.Entries, entry)
-			}
-			return nil
-		})
+		state, err = load(tx)
+		return err
 	})
-	if err == nil {
-		err = checkLog(state)
-	}
 	return state, markDamaged(err)
 }
 
-func markDamaged(err error) error {
-	if err == nil {
-		return nil
+func load(tx *bbolt.Tx) (state replicator.State, err error) {
+	if err := getJSON(tx.Bucket(bucketState), keyVote, &state.Vote); err != nil {
+		return state, err
 	}
-	return errors.Mark(err, ErrDamaged)
-}
-
-// checkLog checks that the entries follow the snapshot without a gap.
-func checkLog(state replicator.State) error {
-	for i, entry := range state.Entries {
-		if entry.Index != state.Snapshot.Index+1+i {
-			return errors.Newf("entry %d stands where %d is due", entry.Index, state.Snapshot.Index+1+i)
+	if err := getJSON(tx.Bucket(bucketState), keySnapshot, &state.Snapshot); err != nil {
+		return state, err
+	}
+	err = tx.Bucket(bucketLog).ForEach(func(key, value []byte) error {
+		var entry messenger.Entry
+		if err := unseal(key, value, &entry); err != nil {
+			return err
+		}
+		if entry.Index > state.Snapshot.Index {
+			state.Entries = append(state.Entries, entry)
 		}
+		return nil
+	})
+	if err != nil {
+		return state, err
 	}
-	return nil
+	return state, checkLog(state)
 }
 
 // Save writes the effects of one or more updates in one synced transaction.
@@ -192,11 +192,13 @@
 				return err
 			}
 		}
-		return nil
+		return saveTail(tx)
 	})
 }
 
-func (j *Journal) update(change func(tx *bbolt.Tx) error) error {
+// update writes a change; the library panics on a damaged list of free pages.
+func (j *Journal) update(change func(tx *bbolt.Tx) error) (err error) {
+	defer recoverFault(&err)()
 	return errors.Wrap(j.db.Update(change), "write the journal; check that the disk has room and is sound")
 }
 
@@ -263,19 +265,3 @@
 func indexKey(index int) []byte {
 	return binary.BigEndian.AppendUint64(nil, uint64(index))
 }
-
-func putJSON(bucket *bbolt.Bucket, key []byte, value any) error {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return err
-	}
-	return bucket.Put(key, data)
-}
-
-func getJSON(bucket *bbolt.Bucket, key []byte, out any) error {
-	data := bucket.Get(key)
-	if data == nil {
-		return nil
-	}
-	return json.Unmarshal(data, out)
-}
