--- a/internal/journaler/check.go
+++ b/internal/journaler/check.go
@@ -143,8 +143,8 @@
 			return errors.Newf("the key %q comes after %q", shown(key), shown(last))
 		}
 		last = key
-		var any json.RawMessage
-		return unseal(key, value, &any)
+		var content json.RawMessage
+		return unseal(key, value, &content)
 	})
 }
 
--- a/internal/journaler/damage_test.go
+++ b/internal/journaler/damage_test.go
@@ -36,8 +36,7 @@
 	assert.NilError(t, err)
 	rng := rand.New(rand.NewPCG(flipSeed, 1))
 	found := 0
-	for range flips {
-		bit := rng.IntN(8 * len(sound))
+	for _, bit := range bitsToFlip(rng, len(sound)) {
 		sound[bit/8] ^= 1 << (bit % 8)
 		assert.NilError(t, os.WriteFile(filepath.Join(folder, fileName), sound, fileMode))
 		sound[bit/8] ^= 1 << (bit % 8)
@@ -54,6 +53,21 @@
 	t.Logf("%d of %d flipped bits of %d bytes were reported, the others changed nothing that counts", found, flips, len(sound))
 }
 
+// bitsToFlip returns one bit of each byte of the meta pages, and others from
+// anywhere in the file.
+func bitsToFlip(rng *rand.Rand, size int) []int {
+	var bits []int
+	for page := range metaPages {
+		for i := range metaBytes {
+			bits = append(bits, 8*(page*os.Getpagesize()+i)+rng.IntN(8))
+		}
+	}
+	for len(bits) < flips {
+		bits = append(bits, rng.IntN(8*size))
+	}
+	return bits
+}
+
 // reopened loads the journal of a folder and closes it again.
 func reopened(folder string) (state replicator.State, identity string, err error) {
 	j, err := Open(folder)
