--- a/internal/journaler/check.go
+++ b/internal/journaler/check.go
@@ -22,6 +22,7 @@
 	pageHeader     = 16 // bytes before the fields of a meta page
 	metaFields     = 56 // bytes that the checksum covers
 	firstPrepared  = 1  // the last transaction of a file without any bucket
+	pageSizeAt     = pageHeader + 8
 	metaChecksumAt = pageHeader + metaFields
 	metaBytes      = metaChecksumAt + 8
 )
@@ -59,9 +60,10 @@
 		return errors.Wrap(err, "open the journal")
 	}
 	defer func() { _ = f.Close() }()
+	pageSize := 0
 	for page := range metaPages {
 		meta := make([]byte, metaBytes)
-		if _, err := f.ReadAt(meta, int64(page*os.Getpagesize())); err != nil && !errors.Is(err, io.EOF) {
+		if _, err := f.ReadAt(meta, int64(page*pageSize)); err != nil && !errors.Is(err, io.EOF) {
 			return errors.Wrap(err, "read the journal")
 		}
 		digest := fnv.New64a()
@@ -69,6 +71,7 @@
 		if binary.NativeEndian.Uint64(meta[metaChecksumAt:]) != digest.Sum64() {
 			return errors.Newf("meta page %d does not match its checksum", page)
 		}
+		pageSize = int(binary.NativeEndian.Uint32(meta[pageSizeAt:]))
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/transporter/options.go
@@ -0,0 +1,40 @@
+package transporter
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// Option changes a setting of a Server.
+type Option func(*http.Server)
+
+// WithClosed calls a function with the remote address of each connection that
+// was closed.
+func WithClosed(closed func(remote string)) Option {
+	return func(server *http.Server) {
+		server.ConnState = func(conn net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				closed(conn.RemoteAddr().String())
+			}
+		}
+	}
+}
+
+// ClientOption changes a setting of a Client.
+type ClientOption func(*http.Transport)
+
+// WithLost calls a function with the address of each connection that has
+// closed, by whichever end. The function must not wait.
+func WithLost(lost func(address string)) ClientOption {
+	return func(t *http.Transport) {
+		dial := t.DialContext
+		t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &watched{Conn: conn, closed: func() { lost(address) }}, nil
+		}
+	}
+}
--- a/internal/transporter/server.go
+++ b/internal/transporter/server.go
@@ -15,21 +15,6 @@
 	server   *http.Server
 }
 
-// Option changes a setting of a Server.
-type Option func(*http.Server)
-
-// WithClosed calls a function with the remote address of each connection that
-// was closed.
-func WithClosed(closed func(remote string)) Option {
-	return func(server *http.Server) {
-		server.ConnState = func(conn net.Conn, state http.ConnState) {
-			if state == http.StateClosed {
-				closed(conn.RemoteAddr().String())
-			}
-		}
-	}
-}
-
 // Listen opens the address and returns a server for the handler.
 func Listen(address string, handler http.Handler, opts ...Option) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -57,24 +57,6 @@
 // Client sends inner messages.
 type Client struct{ http *http.Client }
 
-// ClientOption changes a setting of a Client.
-type ClientOption func(*http.Transport)
-
-// WithLost calls a function with the address of each connection that has
-// closed, by whichever end. The function must not wait.
-func WithLost(lost func(address string)) ClientOption {
-	return func(t *http.Transport) {
-		dial := t.DialContext
-		t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &watched{Conn: conn, closed: func() { lost(address) }}, nil
-		}
-	}
-}
-
 // NewClient returns a client that keeps connections open between calls.
 func NewClient(opts ...ClientOption) *Client {
 	transport := newTransport(true)
