--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -73,9 +73,8 @@
 	virtual float64
 	queue   []*item
 	active  time.Duration // active is until when it counts as active.
-	urgent  bool
-
-	urgentUntil time.Duration // urgentUntil is until when urgent attempts are expected.
+	urgent  bool          // urgent is set while urgent attempts are expected.
+	await   time.Duration // await is until when they are.
 }
 
 // Machine is the admission of one group. It is not safe for concurrent use.
@@ -203,7 +202,7 @@
 	m.seq++
 	m.items[attempt.ID] = it
 	if it.Priority > 0 {
-		m.share(it.Organisation).urgentUntil = now + activeFor
+		m.share(it.Organisation).await = now + activeFor
 	}
 	if kind, message := m.refusal(now, it); kind != "" {
 		m.refuse(now, it, kind, message)
--- a/internal/admitter/start.go
+++ b/internal/admitter/start.go
@@ -43,7 +43,7 @@
 func (m *Machine) noteShares(now time.Duration) {
 	m.weights = 0
 	for _, s := range m.shares {
-		s.urgent = now < s.urgentUntil
+		s.urgent = now < s.await
 		if len(s.queue) > 0 || s.running > 0 {
 			s.active = now + activeFor
 		}
