Planner weighs each group once a plan; one name for what an engine has loaded

Cause: a read of the whole change. That name was formatted by the planner and by the granter, each on its own.

Ruled out: the same for the order of repair, whose comparisons count few lost members; one formatter for the fake endpoint too, which stands for an engine of others and must not share the system's code.

Change: the worth is taken once for each group before the sort. The name has one home, messenger.LoadedName.

--- a/internal/granter/member.go
+++ b/internal/granter/member.go
@@ -1,7 +1,6 @@
 package granter
 
 import (
-	"fmt"
 	"time"
 
 	"papayaseam/internal/messenger"
@@ -16,7 +15,7 @@
 
 // LoadName names what an endpoint must have loaded for a part in a group.
 func LoadName(a Assignment) string {
-	return fmt.Sprintf("%s:%s:%d", a.Spec.Model, a.Spec.Version, a.Rank)
+	return messenger.LoadedName(a.Spec.Model, a.Spec.Version, a.Rank)
 }
 
 // stepMember moves on to the wanted part once no promise binds this instance
--- a/internal/planner/fleet_test.go
+++ b/internal/planner/fleet_test.go
@@ -73,7 +73,7 @@
 	}
 	for rank, m := range group.Members {
 		instance := f.instance(m.Instance)
-		if !instance.EndpointUp || instance.SilentMs > 0 || f.slow[m.Instance] || instance.Loaded != LoadedName(group.Model, group.Version, rank) {
+		if !instance.EndpointUp || instance.SilentMs > 0 || f.slow[m.Instance] || instance.Loaded != messenger.LoadedName(group.Model, group.Version, rank) {
 			return false
 		}
 	}
@@ -139,7 +139,7 @@
 }
 
 func (f *fleet) load(group messenger.GroupSpec, name string, rank int) {
-	want := LoadedName(group.Model, group.Version, rank)
+	want := messenger.LoadedName(group.Model, group.Version, rank)
 	instance := f.instance(name)
 	if l, loading := f.loading[name]; !instance.EndpointUp || instance.Loaded == want || (loading && l.name == want) {
 		return
--- a/internal/planner/lifecycle.go
+++ b/internal/planner/lifecycle.go
@@ -121,7 +121,7 @@
 	next.Standbys = nil
 	for _, standby := range group.Standbys {
 		instance := r.instances[standby.Instance]
-		ready := r.usable(instance) && instance.Loaded == LoadedName(group.Model, group.Version, standby.Rank)
+		ready := r.usable(instance) && instance.Loaded == messenger.LoadedName(group.Model, group.Version, standby.Rank)
 		if ready && (r.wantsSwap(group.Members[standby.Rank].Instance) || r.givenUp(group.Members[standby.Rank].Instance, group.LoadMs)) {
 			next.Members[standby.Rank] = member(instance)
 			continue
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -154,7 +154,7 @@
 
 func (r *round) needsLoad(group messenger.GroupSpec, member messenger.Member, rank int) int {
 	instance, ok := r.instances[member.Instance]
-	if group.Model == "" || !ok || !r.usable(instance) || instance.Loaded == LoadedName(group.Model, group.Version, rank) {
+	if group.Model == "" || !ok || !r.usable(instance) || instance.Loaded == messenger.LoadedName(group.Model, group.Version, rank) {
 		return 0
 	}
 	return 1
--- a/internal/planner/repair.go
+++ b/internal/planner/repair.go
@@ -8,11 +8,6 @@
 	"papayaseam/internal/messenger"
 )
 
-// LoadedName names what an engine has loaded: model, version and rank.
-func LoadedName(model, version string, rank int) string {
-	return fmt.Sprintf("%s:%s:%d", model, version, rank)
-}
-
 // repair completes a group that lost members: from free instances of its
 // fabric domain, from a group that cannot be completed, or whole elsewhere.
 func (r *round) repair(name string) {
@@ -61,7 +56,7 @@
 			return instance, true
 		}
 	}
-	for _, instance := range r.free(group.FabricDomain, LoadedName(group.Model, group.Version, rank)) {
+	for _, instance := range r.free(group.FabricDomain, messenger.LoadedName(group.Model, group.Version, rank)) {
 		if !taken[instance.Name] {
 			return instance, true
 		}
@@ -91,10 +86,14 @@
 // when all is loaded, so that a domain that returns does not load all at once.
 func (r *round) permitLoads(order []string) {
 	order = slices.Clone(order)
+	worth := map[string]float64{}
+	for _, name := range order {
+		worth[name] = r.worth(r.groups[name])
+	}
 	slices.SortStableFunc(order, func(a, b string) int {
 		return cmp.Or(
 			cmp.Compare(r.models[r.groups[b].Model].Priority, r.models[r.groups[a].Model].Priority),
-			cmp.Compare(r.worth(r.groups[b]), r.worth(r.groups[a])),
+			cmp.Compare(worth[b], worth[a]),
 		)
 	})
 	for _, name := range order {
