Admission derives the urgent wait from the time; damage is marked in one place

Cause: a read of the whole change. A share kept a flag beside the moment from which the flag was worked out, set on another path than the one that read it.

Change: the moment alone is kept and compared with the time at hand.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -73,8 +73,7 @@
 	virtual float64
 	queue   []*item
 	active  time.Duration // active is until when it counts as active.
-	urgent  bool          // urgent is set while urgent attempts are expected.
-	await   time.Duration // await is until when they are.
+	await   time.Duration // await is until when urgent attempts are expected.
 }
 
 // Machine is the admission of one group. It is not safe for concurrent use.
@@ -220,7 +219,7 @@
 		return m.closed, "the group takes no new work; try another group"
 	case m.held[it.Fingerprint]:
 		return RefusedHeld, "the request crashed replicas and is held; change it or ask an operator to lift the hold"
-	case it.Deadline > 0 && now+m.wait(it) > it.Deadline:
+	case it.Deadline > 0 && now+m.wait(now, it) > it.Deadline:
 		return RefusedDeadline, "the answer can not begin before the deadline; retry later or with a later deadline"
 	}
 	return "", ""
@@ -228,7 +227,7 @@
 
 // wait estimates the time until an attempt starts: by how many attempts come
 // before it in the fair order of organisations.
-func (m *Machine) wait(it *item) time.Duration {
+func (m *Machine) wait(now time.Duration, it *item) time.Duration {
 	if m.running+m.queued < m.parallel {
 		return 0
 	}
@@ -237,7 +236,7 @@
 	for _, queued := range s.queue {
 		ahead += btoi(before(queued, it))
 	}
-	if ahead == 0 && m.running < m.parallel && !m.reserved(s) && !m.keptForUrgent(s, it) {
+	if ahead == 0 && m.running < m.parallel && !m.reserved(s) && !m.keptForUrgent(now, s, it) {
 		return 0
 	}
 	tag := max(s.virtual, m.virtual) + float64(ahead)/float64(s.weight)
--- a/internal/admitter/start.go
+++ b/internal/admitter/start.go
@@ -11,7 +11,7 @@
 	m.expire(now)
 	m.noteShares(now)
 	for m.running < m.parallel && m.closed == "" {
-		it := m.next()
+		it := m.next(now)
 		if it == nil {
 			return
 		}
@@ -21,7 +21,7 @@
 
 // next returns the first startable attempt of the organisation that is
 // furthest behind its share.
-func (m *Machine) next() *item {
+func (m *Machine) next(now time.Duration) *item {
 	var best *item
 	var bestShare *share
 	for _, s := range m.shares {
@@ -29,7 +29,7 @@
 			continue
 		}
 		it := m.firstStartable(s)
-		if it == nil || m.keptForUrgent(s, it) {
+		if it == nil || m.keptForUrgent(now, s, it) {
 			continue
 		}
 		if best == nil || s.virtual < bestShare.virtual || (s.virtual == bestShare.virtual && it.seq < best.seq) {
@@ -43,7 +43,6 @@
 func (m *Machine) noteShares(now time.Duration) {
 	m.weights = 0
 	for _, s := range m.shares {
-		s.urgent = now < s.await
 		if len(s.queue) > 0 || s.running > 0 {
 			s.active = now + activeFor
 		}
@@ -69,8 +68,8 @@
 // keptForUrgent reports whether the last free place is kept for an urgent
 // attempt of the same organisation, which sent some of late. A group with few
 // places keeps none.
-func (m *Machine) keptForUrgent(s *share, it *item) bool {
-	return s.urgent && it.Priority == 0 && m.parallel-m.running <= 1 && m.parallel >= reserveDivisor
+func (m *Machine) keptForUrgent(now time.Duration, s *share, it *item) bool {
+	return now < s.await && it.Priority == 0 && m.parallel-m.running <= 1 && m.parallel >= reserveDivisor
 }
 
 // firstStartable skips suspects while another suspect runs, so that a crash
--- a/internal/journaler/check.go
+++ b/internal/journaler/check.go
@@ -194,7 +194,7 @@
 	return func() {
 		debug.SetPanicOnFault(before)
 		if fault := recover(); fault != nil {
-			*err = errors.Mark(errors.Newf("read the journal: %v", fault), ErrDamaged)
+			*err = markDamaged(errors.Newf("read the journal: %v", fault))
 		}
 	}
 }
