Members leave a lost group at once; hosts hold the other model; stalls point at lost members

Ruled out: slow elections (0.7 s, not the 5 s first suspected). Change: members of a silent head leave and are used at once; a broken group's head is told to leave; every host stages the other model; one group of a model with plenty is given up for the neediest; entries tell which heads stand still; a stopping entry refuses new requests after 2.5 s.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -139,6 +139,7 @@
 	sections := []string{"process", "control"}
 	if s.IsDirect() {
 		s.Direct = r.direct()
+		s.StopAfter = s.Direct.Stop
 		return s, f.Err("process", "direct")
 	}
 	s.Controls = r.controls()
--- a/internal/configurer/direct.go
+++ b/internal/configurer/direct.go
@@ -21,11 +21,15 @@
 	Lease      time.Duration // Lease is how long a confirmed configuration serves keyed requests.
 	RetryRatio float64       // RetryRatio is the declared budget of retries for each request.
 	BreakAfter time.Duration // BreakAfter is when a head that lacks a member has broken for certain.
+	Stop       time.Duration // Stop bounds a planned stop.
 	MemoryMB   int           // MemoryMB bounds the process.
 }
 
 const (
 	maxLosses = 7
+	maxGraceS = 3600
+	// stopMargin is what the end of the process needs before it is killed.
+	stopMargin = 250 * time.Millisecond
 	// leaseShare keeps a lease below the time in which a removed key must stop,
 	// by what a request needs from here to its endpoint.
 	leaseShare = 0.8
@@ -38,7 +42,10 @@
 
 func (r reader) direct() Direct {
 	const section = "direct"
+	grace := r.Number(section, "grace-s", 10, 1, maxGraceS)
 	d := Direct{
+		Stop: time.Duration(grace*float64(time.Second)) - stopMargin,
+
 		Listen: r.address(section, "listen"), ReadyOn: r.Text(section, "ready-listen", ""), ReadyPath: r.Text(section, "ready-path", "/readyz"),
 		MetricsOn: r.Text(section, "metrics-listen", ""), First: r.Bool(section, "first-start", false),
 		DataFolder: r.Text(section, "data-folder", ""), Losses: r.Int(section, "disks-lost-at-once", 1, 0, maxLosses),
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -26,6 +26,10 @@
 	sightingLife = 900 * time.Millisecond
 	// movingWithin is a pause that no sound stream exceeds.
 	movingWithin = 400 * time.Millisecond
+	// stalledAfter is above the pauses between the events of a full group.
+	stalledAfter = 220 * time.Millisecond
+	// stalledStreams is how many answers must stand still together.
+	stalledStreams = 2
 	// entryLife is how long an entry that does not ask counts as running.
 	entryLife = 3 * time.Second
 )
@@ -156,6 +160,7 @@
 	}
 	f.tracker.Update(tracker.ForgetMsg{Now: now(), After: forgetAfter})
 	demand := d.demandNow()
+	moving, stalled := d.progress()
 	for _, service := range d.config.Services {
 		if service.Engine == nil {
 			continue
@@ -168,7 +173,7 @@
 			known = f.groups
 		}
 		msg := placer.PlanMsg{
-			Now: now(), Service: service.Name, Engine: *service.Engine, Demand: demand, Moving: d.moving(),
+			Now: now(), Service: service.Name, Engine: *service.Engine, Demand: demand, Moving: moving, Stalled: stalled,
 			Known: slices.DeleteFunc(slices.Clone(known), func(g messenger.GroupView) bool { return g.Service != service.Name }),
 		}
 		for _, e := range f.tracker.Endpoints() {
@@ -228,7 +233,7 @@
 		defer cancel()
 		err := d.endpoints.Order(call, e.View, order, token)
 		d.log.Info("order", "endpoint", order.Instance, "op", order.Op, "group", order.Group, "model", order.Model, "token", token, "err", err)
-		d.pollOne(ctx, e.View)
+		d.pollOne(ctx, e.View, reportTimeout)
 	})
 }
 
@@ -247,20 +252,28 @@
 	return m.work
 }
 
-// moving returns the heads whose answers entries receive right now; mu is held.
-func (d *Director) moving() map[string]bool {
-	moving := map[string]bool{}
+// progress returns the heads whose answers entries receive right now, and those
+// of whose several answers none moves; mu is held.
+func (d *Director) progress() (moving, stalled map[string]bool) {
+	moving, stalled = map[string]bool{}, map[string]bool{}
+	open, quiet := map[string]int{}, map[string]int{}
 	for _, state := range d.fleet.entries {
-		if now()-state.at > sightingLife {
+		age := int((now() - state.at) / time.Millisecond)
+		if age > int(sightingLife/time.Millisecond) {
 			continue
 		}
 		for _, s := range state.sightings {
-			if s.Open > 0 && s.QuietMs < int(movingWithin/time.Millisecond) {
-				moving[s.Instance] = true
+			if least, ok := quiet[s.Instance]; !ok || s.QuietMs < least {
+				quiet[s.Instance] = s.QuietMs
 			}
+			open[s.Instance] += s.Open
 		}
 	}
-	return moving
+	for head, ms := range quiet {
+		moving[head] = ms < int(movingWithin/time.Millisecond)
+		stalled[head] = open[head] >= stalledStreams && ms > int(stalledAfter/time.Millisecond)
+	}
+	return moving, stalled
 }
 
 // liveEntries counts the entries that asked of late; mu is held.
--- a/internal/director/poll.go
+++ b/internal/director/poll.go
@@ -14,12 +14,16 @@
 const (
 	orderTimeout  = 900 * time.Millisecond
 	reportTimeout = 300 * time.Millisecond
+	// urgentTimeout is for members of a group that stands still.
+	urgentTimeout = 150 * time.Millisecond
 	// pollBusy is the pace for groups that change.
 	pollBusy = 60 * time.Millisecond
+	// pollUrgent is the pace for members of a group that stands still.
+	pollUrgent = 50 * time.Millisecond
 	// pollHead is the pace for the load of heads that serve.
-	pollHead = 150 * time.Millisecond
+	pollHead = 200 * time.Millisecond
 	// pollIdle is the pace for all other engines.
-	pollIdle = 250 * time.Millisecond
+	pollIdle = 500 * time.Millisecond
 )
 
 // poll reads the state of all engines that are due.
@@ -29,7 +33,8 @@
 	if !d.leading || d.config == nil {
 		return
 	}
-	paces := d.paces()
+	_, stalled := d.progress()
+	paces := d.paces(stalled)
 	for _, e := range d.table().Endpoints() {
 		service, ok := d.config.Service(e.View.Service)
 		id := e.View.Instance
@@ -44,9 +49,13 @@
 			continue
 		}
 		d.fleet.polling[id] = now()
+		timeout := reportTimeout
+		if pace == pollUrgent {
+			timeout = urgentTimeout
+		}
 		d.fleet.inFlight[id] = true
 		d.beginLocked("report", func() {
-			d.pollOne(ctx, e.View)
+			d.pollOne(ctx, e.View, timeout)
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			delete(d.fleet.inFlight, id)
@@ -55,12 +64,14 @@
 }
 
 // paces returns how often the members of groups are read; mu is held.
-func (d *Director) paces() map[string]time.Duration {
+func (d *Director) paces(stalled map[string]bool) map[string]time.Duration {
 	paces := map[string]time.Duration{}
 	for _, p := range d.fleet.placers {
 		for _, g := range p.Groups() {
 			for i, m := range g.Members {
 				switch {
+				case stalled[g.Head().Instance]:
+					paces[m.Instance] = pollUrgent
 				case g.State != placer.Open:
 					paces[m.Instance] = pollBusy
 				case i == 0:
@@ -72,9 +83,9 @@
 	return paces
 }
 
-func (d *Director) pollOne(ctx context.Context, view messenger.EndpointView) {
+func (d *Director) pollOne(ctx context.Context, view messenger.EndpointView, timeout time.Duration) {
 	began := now()
-	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	report, born, err := d.endpoints.Report(call, view)
 	d.mu.Lock()
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -108,7 +108,7 @@
 	client  *transporter.Client
 	inner   *transporter.Client
 	current atomic.Pointer[snapshot]
-	leaving atomic.Bool
+	leaving atomic.Int64 // leaving is when the stop began; 0 while it has not.
 	open    atomic.Int64
 
 	mu       sync.Mutex
@@ -156,7 +156,7 @@
 // confirmed of late, and does not stop.
 func (g *Gatekeeper) Ready() bool {
 	s := g.current.Load()
-	return s != nil && !g.leaving.Load() && timekeeper.Now()-s.confirmed < g.cfg.Lease
+	return s != nil && g.leaving.Load() == 0 && timekeeper.Now()-s.confirmed < g.cfg.Lease
 }
 
 // Open returns the number of requests under way.
@@ -165,7 +165,7 @@
 // Drain makes the entry not ready and returns when no request is under way and
 // the balancer has had time to notice, or the context ends.
 func (g *Gatekeeper) Drain(ctx context.Context) {
-	g.leaving.Store(true)
+	g.leaving.Store(int64(timekeeper.Now()))
 	least := time.NewTimer(leastDrain)
 	defer least.Stop()
 	select {
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -21,6 +21,8 @@
 	defaultBody = 4 << 20
 	// comeBack is when a refused client should return: a group's next places.
 	comeBack = 250 * time.Millisecond
+	// lastNew is how long a stopping entry takes requests on open connections.
+	lastNew = 2500 * time.Millisecond
 	// maxDeadline bounds a client's time limit.
 	maxDeadline = 10 * time.Minute
 )
@@ -51,10 +53,14 @@
 func (g *Gatekeeper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.open.Add(1)
 	defer g.open.Add(-1)
-	if g.leaving.Load() {
+	e := &exchange{w: w, r: r, began: timekeeper.Now()}
+	if at := g.leaving.Load(); at != 0 {
 		w.Header().Set("Connection", "close")
+		if e.began-time.Duration(at) > lastNew {
+			g.refuse(e, "this entry stops")
+			return
+		}
 	}
-	e := &exchange{w: w, r: r, began: timekeeper.Now()}
 	if !g.admit(e) {
 		return
 	}
@@ -200,16 +206,17 @@
 func (g *Gatekeeper) pick(e *exchange) (chooser.Target, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if e.attempts > 0 {
-		if e.attempts >= max(e.route.MaxAttempts, 1) || !g.budget.Spend(e.service.Name) {
-			return chooser.Target{}, false
-		}
+	if e.attempts >= max(e.route.MaxAttempts, 1) {
+		return chooser.Target{}, false
 	}
 	want := chooser.Want{Service: e.service.Name, Avoid: e.avoid, Now: timekeeper.Now()}
 	if e.service.Engine != nil {
 		want.Model = e.call.Model
 	}
 	target, ok := g.chooser.Pick(want)
+	if ok && e.attempts > 0 && !g.budget.Spend(e.service.Name) {
+		return chooser.Target{}, false
+	}
 	if ok {
 		g.chooser.Update(chooser.BeganMsg{ID: target.ID})
 	}
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"papayaseam/internal/chooser"
 	"papayaseam/internal/timekeeper"
@@ -30,7 +31,7 @@
 // serveStream forwards a stream and goes on elsewhere where it breaks.
 func (g *Gatekeeper) serveStream(ctx context.Context, e *exchange) {
 	for {
-		target, ok := g.pick(e)
+		target, ok := g.pickSoon(ctx, e)
 		if !ok {
 			g.giveUp(ctx, e)
 			return
@@ -48,6 +49,34 @@
 	}
 }
 
+// pickSoon is pick, but waits for a place where the answer has begun.
+func (g *Gatekeeper) pickSoon(ctx context.Context, e *exchange) (chooser.Target, bool) {
+	target, ok := g.pick(e)
+	if ok || !e.writing || e.attempts >= max(e.route.MaxAttempts, 1) {
+		return target, ok
+	}
+	ctx, cancel := context.WithTimeout(ctx, resumeWithin)
+	defer cancel()
+	ticker := time.NewTicker(resumeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return target, false
+		case <-ticker.C:
+		}
+		if target, ok = g.pick(e); ok {
+			return target, true
+		}
+	}
+}
+
+const (
+	// resumeWithin is less than a client waits for the next event.
+	resumeWithin = 1200 * time.Millisecond
+	resumeEvery  = 25 * time.Millisecond
+)
+
 // streamOnce makes one attempt; done tells that the client has its answer.
 func (g *Gatekeeper) streamOnce(ctx context.Context, e *exchange, target chooser.Target) (done bool, v verdict, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -101,7 +130,7 @@
 		g.seen[s.target.ID] = seen
 	}
 	if seen.open == 0 {
-		seen.last = 0
+		seen.last = timekeeper.Now()
 	}
 	seen.open++
 }
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -34,7 +34,7 @@
 	taken := map[string]bool{}
 	for _, g := range p.groups {
 		for _, m := range g.Members {
-			taken[m.Instance] = true
+			taken[m.Instance] = taken[m.Instance] || !p.hasParted(g, m)
 		}
 	}
 	free := map[string][]tracker.Endpoint{}
@@ -88,27 +88,101 @@
 func (p *Placer) place() {
 	for p.placeOne() {
 	}
+	p.steal()
 }
 
 func (p *Placer) placeOne() bool {
 	free := p.free()
+	for i, model := range p.byNeed() {
+		if i > 0 && len(p.msg.Demand) > 0 && p.ratios()[model.Name] > otherModelBelow {
+			continue
+		}
+		if members := p.choose(model, free); members != nil {
+			p.newGroup(model, members)
+			return true
+		}
+	}
+	return false
+}
+
+// byNeed returns the models, the neediest first. Before there is demand the
+// larger groups go first, as long as their share is not reached.
+func (p *Placer) byNeed() []describer.Model {
 	ratios := p.ratios()
 	models := slices.Clone(p.msg.Engine.Models)
+	rank := func(m describer.Model) float64 {
+		next := ratios[m.Name] + float64(m.Size)/max(p.wanted(m), 1)/2
+		if len(p.msg.Demand) == 0 && next <= 1 {
+			return -float64(m.Size)
+		}
+		return ratios[m.Name]
+	}
 	slices.SortStableFunc(models, func(a, b describer.Model) int {
-		return cmp.Or(cmp.Compare(ratios[a.Name], ratios[b.Name]), cmp.Compare(b.Size, a.Size))
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.Size, a.Size))
 	})
-	for i, model := range models {
-		if i > 0 && len(p.msg.Demand) > 0 && ratios[model.Name] > otherModelBelow {
+	return models
+}
+
+// stealGain is how much better the worst-served model must stand after a group
+// of another model was given up for it.
+const stealGain = 1.1
+
+// steal gives up one group of a model that has plenty where its members
+// complete a group of the neediest one.
+func (p *Placer) steal() {
+	if len(p.msg.Demand) == 0 || p.closing() {
+		return
+	}
+	free := p.free()
+	ratios := p.ratios()
+	needy := p.byNeed()[0]
+	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
+		donor := p.groups[name]
+		model, ok := p.msg.Engine.Model(donor.Model)
+		if !ok || donor.State != Open || donor.Model == needy.Name || p.msg.Now-donor.Since < settled {
 			continue
 		}
-		if members := p.choose(model, free); members != nil {
-			p.newGroup(model, members)
+		warm := p.warm(free[donor.FabricDomain], needy)
+		if len(warm) == 0 || len(warm)+p.warmMembers(donor, needy) < needy.Size {
+			continue
+		}
+		before := min(ratios[needy.Name], ratios[donor.Model])
+		after := min(ratios[needy.Name]+float64(needy.Size)/max(p.wanted(needy), 1), ratios[donor.Model]-float64(model.Size)/max(p.wanted(model), 1))
+		if after > before*stealGain {
+			p.startClose(donor, "its members complete a group of "+needy.Name, false)
+			return
+		}
+	}
+}
+
+// settled is how long a group serves before it may be given up.
+const settled = 3 * time.Second
+
+// closing reports whether a group is being given up for another.
+func (p *Placer) closing() bool {
+	for _, g := range p.groups {
+		if g.State == Closing && !g.Cutover {
 			return true
 		}
 	}
 	return false
 }
 
+// warm returns the endpoints that need no load from the store for a model.
+func (p *Placer) warm(list []tracker.Endpoint, model describer.Model) []tracker.Endpoint {
+	return slices.DeleteFunc(slices.Clone(list), func(e tracker.Endpoint) bool { return p.readyIn(e, model) >= model.Load })
+}
+
+func (p *Placer) warmMembers(g *Group, model describer.Model) int {
+	n := 0
+	for _, m := range g.Members {
+		if p.readyIn(p.byID[m.Instance], model) < model.Load {
+			n++
+		}
+	}
+	return n
+}
+
 // choose returns the endpoints of one domain that form a group of a model the
 // soonest, or nil where no domain has enough or the store allows no load now.
 func (p *Placer) choose(model describer.Model, free map[string][]tracker.Endpoint) []tracker.Endpoint {
@@ -116,6 +190,9 @@
 	bestTime := time.Duration(0)
 	for _, domain := range slices.Sorted(maps.Keys(free)) {
 		list := slices.Clone(free[domain])
+		if len(p.msg.Demand) > 0 {
+			list = p.warm(list, model)
+		}
 		if len(list) < model.Size {
 			continue
 		}
@@ -124,9 +201,6 @@
 		})
 		list = list[:model.Size]
 		last := p.readyIn(list[len(list)-1], model)
-		if !p.mayLoad(list, model) {
-			continue
-		}
 		if best == nil || last < bestTime || (last == bestTime && len(free[domain]) > len(free[best[0].Report.FabricDomain])) {
 			best, bestTime = list, last
 		}
@@ -134,53 +208,51 @@
 	return best
 }
 
-// mayLoad reports whether the weight store may start the loads that a group
-// needs now. Before there is demand, loads are not bounded.
-func (p *Placer) mayLoad(members []tracker.Endpoint, model describer.Model) bool {
-	if len(p.msg.Demand) == 0 {
-		return true
-	}
-	needed := 0
-	for _, e := range members {
-		if p.readyIn(e, model) >= model.Load {
-			needed++
-		}
-	}
-	return needed == 0 || float64(needed+p.recentLoads()) <= max(p.msg.Engine.LoadsPerSec, float64(model.Size))
-}
-
 func (p *Placer) recentLoads() int {
 	p.loads = slices.DeleteFunc(p.loads, func(at time.Duration) bool { return p.msg.Now-at > p.options.loadWindow })
 	return len(p.loads)
 }
 
-// stage lets free endpoints that hold no model load the neediest one, so that
-// they complete a group sooner.
+// stage lets hosts load the model that they may need next, beside all else:
+// a host in a group the neediest other model, a free one the neediest of all.
+// Before there is demand, loads are not bounded.
 func (p *Placer) stage() {
-	if len(p.msg.Demand) == 0 {
-		return
+	inGroup := map[string]*Group{}
+	for _, g := range p.groups {
+		for _, m := range g.Members {
+			inGroup[m.Instance] = g
+		}
 	}
-	ratios := p.ratios()
-	for _, list := range p.free() {
-		for _, e := range list {
-			p.stageOne(e, ratios)
+	for _, e := range p.msg.Endpoints {
+		g := inGroup[e.View.Instance]
+		ready := e.ReportAt != 0 && p.health(Member{e.View.Instance, e.View.Born}) == sound && !e.Report.Busy
+		if ready && (g == nil || g.State == Open) {
+			p.stageOne(e)
 		}
 	}
 }
 
-func (p *Placer) stageOne(e tracker.Endpoint, ratios map[string]float64) {
+func (p *Placer) stageOne(e tracker.Endpoint) {
 	id := e.View.Instance
-	_, begun := p.staging[id]
-	if len(e.Report.Staged) > 0 || len(e.Report.Models) > 0 || begun || len(p.msg.Engine.Models) == 0 {
+	if at, begun := p.staging[id]; begun && p.msg.Now-at < stagingLife {
 		return
 	}
-	if float64(p.recentLoads()+1) > p.msg.Engine.LoadsPerSec {
+	if len(p.msg.Demand) > 0 && float64(p.recentLoads()+1) > p.msg.Engine.LoadsPerSec {
+		return
+	}
+	for _, model := range p.byNeed() {
+		if slices.Contains(e.Report.Models, model.Name) {
+			continue
+		}
+		if slices.Contains(e.Report.Staged, model.Name) {
+			return
+		}
+		p.staging[id] = p.msg.Now
+		p.loads = append(p.loads, p.msg.Now)
+		p.orders = append(p.orders, Order{Instance: id, Born: e.View.Born, Op: OpStage, Model: model.Name, Orders: e.Report.Orders})
 		return
 	}
-	model := slices.MinFunc(p.msg.Engine.Models, func(a, b describer.Model) int {
-		return cmp.Or(cmp.Compare(ratios[a.Name], ratios[b.Name]), cmp.Compare(b.Size, a.Size))
-	})
-	p.staging[id] = p.msg.Now
-	p.loads = append(p.loads, p.msg.Now)
-	p.orders = append(p.orders, Order{Instance: id, Born: e.View.Born, Op: OpStage, Model: model.Name, Orders: e.Report.Orders})
 }
+
+// stagingLife is longer than any load; after it a load counts as lost.
+const stagingLife = 40 * time.Second
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -120,6 +120,7 @@
 	Endpoints []tracker.Endpoint // Endpoints are those of the service.
 	Demand    map[string]float64 // Demand is the work in instances that clients ask of each model; empty before traffic.
 	Moving    map[string]bool    // Moving names the heads whose answers clients receive right now.
+	Stalled   map[string]bool    // Stalled names the heads of whose several answers none moves.
 	Known     []messenger.GroupView
 }
 
@@ -367,6 +368,9 @@
 			if !p.inGroup(g, m) {
 				return "member " + m.Instance + " is in another group"
 			}
+			if p.msg.Stalled[g.Head().Instance] && p.byID[m.Instance].Failing != 0 {
+				return "member " + m.Instance + " does not answer and the group stands still"
+			}
 		}
 	}
 	if p.headState(g) == MemberBroken {
@@ -416,32 +420,28 @@
 	switch p.headState(g) {
 	case "":
 		p.end(g)
-	case MemberOpen, MemberClosing:
-		if !g.Cutover && p.headState(g) == MemberClosing {
+	case MemberClosing:
+		if g.Cutover {
+			p.order(g, g.Head(), Order{Op: OpLeave})
+		}
+	case MemberOpen:
+		if g.Cutover {
+			p.order(g, g.Head(), Order{Op: OpLeave})
 			return
 		}
-		p.order(g, g.Head(), Order{Op: OpClose, Cutover: g.Cutover})
+		p.order(g, g.Head(), Order{Op: OpClose})
 	default:
 		p.order(g, g.Head(), Order{Op: OpLeave})
 	}
 }
 
-// part takes the members away from a head that does not answer: once one has
-// left, the head stands still and breaks by its own limit.
+// part takes the members away from a head that does not answer: a group that a
+// member has left stands still and breaks by its own limit.
 func (p *Placer) part(g *Group) {
-	left := false
 	for _, m := range g.Members[1:] {
-		if p.health(m) == silent {
-			continue
-		}
-		if p.health(m) != dead && p.inGroup(g, m) {
+		if h := p.health(m); h != silent && h != dead && p.inGroup(g, m) {
 			p.order(g, m, Order{Op: OpLeave})
-			continue
 		}
-		left = true
-	}
-	if !left {
-		return
 	}
 	if g.parted == 0 {
 		g.parted = p.msg.Now
@@ -451,6 +451,12 @@
 	}
 }
 
+// parted reports whether a member has left a group whose head is silent, so
+// that it can join another one.
+func (p *Placer) hasParted(g *Group, m Member) bool {
+	return g.State == Closing && g.parted != 0 && m != g.Head() && p.health(m) == sound && !p.inGroup(g, m)
+}
+
 // end gives the members of a group away.
 func (p *Placer) end(g *Group) {
 	p.ended[g.Name] = true
