Groups are wanted by demand and a square-root reserve; endpoints' addresses are in the log; one line a request

Change: wanted instances are the busy ones and a reserve by the square root of the busy groups; survivors wait for a group that can be given up before they serve another model; endpoints are remembered in the log for a start after all processes were killed; one log line a request.

--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -27,6 +27,9 @@
 // first, long after their endpoints have ended.
 const KeptDepartures = 4096
 
+// KeptEndpoints bounds the endpoints that are remembered.
+const KeptEndpoints = 4096
+
 // CommandMsg carries one committed command.
 type CommandMsg struct{ Command messenger.FleetCommand }
 
@@ -62,9 +65,32 @@
 		}
 		changed = true
 	}
+	if e := command.Endpoint; e != nil {
+		c.noteEndpoint(*e)
+	}
 	return changed
 }
 
+// noteEndpoint remembers where an endpoint was first heard, so that a leader
+// that starts with nothing else can ask it at once.
+func (c *Cataloguer) noteEndpoint(e messenger.EndpointView) {
+	c.state.Endpoints = slices.DeleteFunc(c.state.Endpoints, func(old messenger.EndpointView) bool {
+		return old.Instance == e.Instance || old.Address == e.Address
+	})
+	c.state.Endpoints = append(c.state.Endpoints, e)
+	if extra := len(c.state.Endpoints) - KeptEndpoints; extra > 0 {
+		c.state.Endpoints = slices.Clone(c.state.Endpoints[extra:])
+	}
+}
+
+// Endpoints returns the remembered endpoints that have not said that they
+// leave; some may have ended since.
+func (c *Cataloguer) Endpoints() []messenger.EndpointView {
+	return slices.DeleteFunc(slices.Clone(c.state.Endpoints), func(e messenger.EndpointView) bool {
+		return c.Departed(e.Instance, e.Born)
+	})
+}
+
 // Snapshot returns the whole state in a form that Restore takes.
 func (c *Cataloguer) Snapshot() ([]byte, error) {
 	data, err := json.Marshal(c.state)
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -212,6 +212,15 @@
 	return k != nil && k.target == t
 }
 
+// Load returns the estimated running and waiting requests of an endpoint.
+func (c *Chooser) Load(id string) int {
+	k := c.candidates[id]
+	if k == nil {
+		return 0
+	}
+	return k.running()
+}
+
 // Has reports whether the service has any candidate for a model.
 func (c *Chooser) Has(service, model string) bool {
 	for _, k := range c.candidates {
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -22,6 +22,8 @@
 	forgetAfter = 15 * time.Second
 	// demandLife is how long a measured demand counts.
 	demandLife = 4 * time.Second
+	// demandLeast is the least time over which a demand is measured.
+	demandLeast = 500 * time.Millisecond
 	// sightingLife is how long what an entry saw counts.
 	sightingLife = 900 * time.Millisecond
 	// movingWithin is a pause that no sound stream exceeds.
@@ -66,12 +68,14 @@
 	nextProposal uint64
 	known        int // known is the number of endpoints at the last plan.
 	syncedTerm   int
+	remembered   map[string]int // remembered maps identities to the boots whose addresses are in the log.
 }
 
 func newFleet() fleet {
 	return fleet{
 		tracker: tracker.New(), placers: map[string]*placer.Placer{}, changed: make(chan struct{}), entries: map[string]entryState{},
 		demand: demandMeter{work: map[string]float64{}}, polling: map[string]time.Duration{}, inFlight: map[string]bool{},
+		remembered: map[string]int{},
 	}
 }
 
@@ -143,7 +147,12 @@
 	f.lastNew = now()
 	f.demand = demandMeter{work: map[string]float64{}, since: now(), last: f.demand.last}
 	f.polling = map[string]time.Duration{}
-	for _, view := range f.endpoints {
+	f.remembered = map[string]int{}
+	known := f.endpoints
+	if len(known) == 0 {
+		known = d.state.Endpoints()
+	}
+	for _, view := range known {
 		view.Sequence = -1
 		f.tracker.Update(tracker.AnnounceMsg{Now: now(), Endpoint: view})
 	}
@@ -237,19 +246,32 @@
 	})
 }
 
-// demandNow returns the instances' work that entries measured of late; mu is
-// held.
+// demandNow returns the instances that the measured work of each model keeps
+// busy; empty before there is any. mu is held.
 func (d *Director) demandNow() map[string]float64 {
 	m := &d.fleet.demand
-	if now()-m.since > demandLife {
-		m.last = m.work
+	elapsed := now() - m.since
+	if elapsed > demandLife {
+		m.last = rates(m.work, elapsed)
 		m.work = map[string]float64{}
 		m.since = now()
 	}
 	if len(m.last) > 0 {
 		return m.last
 	}
-	return m.work
+	if elapsed < demandLeast {
+		return map[string]float64{}
+	}
+	return rates(m.work, elapsed)
+}
+
+// rates divides work by the time in which it came.
+func rates(work map[string]float64, elapsed time.Duration) map[string]float64 {
+	out := map[string]float64{}
+	for model, ms := range work {
+		out[model] = ms / float64(elapsed.Milliseconds())
+	}
+	return out
 }
 
 // progress returns the heads whose answers entries receive right now, and those
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -251,9 +251,28 @@
 	if changed && len(d.fleet.placers) > 0 {
 		d.publish()
 	}
+	d.remember(ctx, view)
 	return nil
 }
 
+// remember commits where a new boot of an endpoint is, beside all else; mu is
+// held.
+func (d *Director) remember(ctx context.Context, view messenger.EndpointView) {
+	if view.Leaving || view.Address == "" || d.fleet.remembered[view.Instance] == view.Born {
+		return
+	}
+	d.fleet.remembered[view.Instance] = view.Born
+	view.Sequence = 0
+	ctx = context.WithoutCancel(ctx)
+	d.beginLocked("remember", func() {
+		if _, err := d.command(ctx, messenger.FleetCommand{Endpoint: &view}); err != nil {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			delete(d.fleet.remembered, view.Instance)
+		}
+	})
+}
+
 // Declare takes a whole configuration. It returns describer.ErrInvalid for one
 // that must be corrected; any other error leaves the outcome open.
 func (d *Director) Declare(ctx context.Context, document []byte) error {
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -143,6 +143,7 @@
 }
 
 func (g *Gatekeeper) writeWhole(e *exchange, response *http.Response, body []byte) {
+	e.outcome = "answered"
 	g.dialect.Copy(e.w.Header(), response.Header)
 	e.w.WriteHeader(response.StatusCode)
 	_, _ = e.w.Write(body)
@@ -152,6 +153,7 @@
 func (g *Gatekeeper) giveUp(ctx context.Context, e *exchange) {
 	switch {
 	case e.r.Context().Err() != nil:
+		e.outcome = "left"
 		panic(http.ErrAbortHandler)
 	case e.kept != nil:
 		g.writeWhole(e, e.kept.response, e.kept.body)
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -46,6 +46,13 @@
 	offered      bool // offered tells that an endpoint has read the request and may have run it.
 	writing      bool // writing tells that the answer has begun.
 	lastEvent    string
+	firstAt      time.Duration // firstAt is when the first event was forwarded; 0 before.
+	eventAt      time.Duration // eventAt is when the newest event was forwarded.
+	gap          time.Duration // gap is the longest pause between events.
+	target       chooser.Target
+	outcome      string
+	reason       string
+	load         int // load is the estimated requests at the endpoint of the first attempt.
 	kept         *keptAnswer
 }
 
@@ -61,6 +68,7 @@
 			return
 		}
 	}
+	defer g.logEnd(e)
 	if !g.admit(e) {
 		return
 	}
@@ -181,25 +189,27 @@
 
 // refuse answers that the request has not run and never will.
 func (g *Gatekeeper) refuse(e *exchange, reason string) {
+	e.outcome, e.reason = "refused", reason
 	if e.writing {
+		e.outcome = "cut"
 		panic(http.ErrAbortHandler)
 	}
 	g.dialect.RetryAfter(e.w.Header(), comeBack)
 	http.Error(e.w, "not run: "+reason, http.StatusServiceUnavailable)
-	g.log.Debug("refused", "attempt", e.call.Attempt, "route", e.route.Name, "reason", reason)
 }
 
 // fail answers that the outcome is not known.
 func (g *Gatekeeper) fail(e *exchange, status int, reason string) {
-	if e.writing {
-		panic(http.ErrAbortHandler)
-	}
-	if !e.offered {
+	if !e.offered && !e.writing {
 		g.refuse(e, reason)
 		return
 	}
+	e.outcome, e.reason = "failed", reason
+	if e.writing {
+		e.outcome = "cut"
+		panic(http.ErrAbortHandler)
+	}
 	http.Error(e.w, "may have run: "+reason, status)
-	g.log.Info("failed", "attempt", e.call.Attempt, "route", e.route.Name, "status", status, "reason", reason)
 }
 
 // pick returns where the next attempt of a request goes.
@@ -218,6 +228,10 @@
 		return chooser.Target{}, false
 	}
 	if ok {
+		if e.attempts == 0 {
+			e.load = g.chooser.Load(target.ID)
+		}
+		e.target = target
 		g.chooser.Update(chooser.BeganMsg{ID: target.ID})
 	}
 	return target, ok
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -104,6 +104,7 @@
 		return false, unknown, err
 	}
 	outcome = chooser.Served
+	e.outcome = "answered"
 	if !e.writing {
 		e.w.WriteHeader(http.StatusOK)
 	}
@@ -201,10 +202,15 @@
 
 // writeEvent forwards one event and remembers its id.
 func (e *exchange) writeEvent(event []byte) error {
+	now := timekeeper.Now()
 	if !e.writing {
 		e.writing = true
+		e.firstAt = now
 		e.w.WriteHeader(http.StatusOK)
+	} else {
+		e.gap = max(e.gap, now-e.eventAt)
 	}
+	e.eventAt = now
 	if _, err := e.w.Write(event); err != nil {
 		return err
 	}
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -133,6 +133,9 @@
 	// Document corresponds to the JSON schema field "document".
 	Document string `json:"document,omitempty,omitzero"`
 
+	// Endpoint corresponds to the JSON schema field "endpoint".
+	Endpoint *EndpointView `json:"endpoint,omitempty,omitzero"`
+
 	// Version corresponds to the JSON schema field "version".
 	Version int `json:"version,omitempty,omitzero"`
 }
@@ -205,6 +208,9 @@
 	// Document corresponds to the JSON schema field "document".
 	Document string `json:"document,omitempty,omitzero"`
 
+	// Endpoints corresponds to the JSON schema field "endpoints".
+	Endpoints []EndpointView `json:"endpoints,omitempty,omitzero"`
+
 	// Version corresponds to the JSON schema field "version".
 	Version int `json:"version,omitempty,omitzero"`
 }
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -16,7 +17,7 @@
 
 // otherModelBelow is the ratio of a model's instances to its demand below which
 // it may use instances that a needier model can not use yet.
-const otherModelBelow = 1.3
+const otherModelBelow = 1.0
 
 // readyIn estimates how long an endpoint takes to join a group of a model.
 func (p *Placer) readyIn(e tracker.Endpoint, model describer.Model) time.Duration {
@@ -40,7 +41,7 @@
 	free := map[string][]tracker.Endpoint{}
 	for _, e := range p.msg.Endpoints {
 		sound := p.health(Member{e.View.Instance, e.View.Born}) == sound
-		if taken[e.View.Instance] || !sound || e.ReportAt == 0 {
+		if taken[e.View.Instance] || !sound || e.ReportAt == 0 || e.Failing != 0 {
 			continue
 		}
 		free[e.Report.FabricDomain] = append(free[e.Report.FabricDomain], e)
@@ -65,42 +66,63 @@
 }
 
 // wanted returns the instances that a model should have: its part of all by
-// the declared shares, or of the measured demand once there is one.
+// the declared shares, or, once there is demand, what keeps its groups busy and
+// a reserve that grows with the square root of that number of groups, so that
+// few large groups are not filled as far as many small ones.
 func (p *Placer) wanted(model describer.Model) float64 {
-	total, own := 0.0, 0.0
+	if len(p.msg.Demand) == 0 {
+		return p.share(model) * float64(len(p.msg.Endpoints))
+	}
+	base, reserve := 0.0, 0.0
 	for _, m := range p.msg.Engine.Models {
-		part := m.Share
-		if len(p.msg.Demand) > 0 {
-			part = p.msg.Demand[m.Name]
-		}
-		total += part
-		if m.Name == model.Name {
-			own = part
-		}
+		base += p.msg.Demand[m.Name]
+		reserve += p.reserve(m)
+	}
+	k := max((float64(len(p.msg.Endpoints))-base)/max(reserve, 1), leastReserve)
+	return p.msg.Demand[model.Name] + k*p.reserve(model)
+}
+
+// leastReserve is the factor of the reserve where the demand exceeds all
+// instances.
+const leastReserve = 0.1
+
+// reserve is the square root of a model's busy groups, in instances.
+func (p *Placer) reserve(m describer.Model) float64 {
+	size := float64(m.Size)
+	return size * math.Sqrt(p.msg.Demand[m.Name]/size)
+}
+
+func (p *Placer) share(model describer.Model) float64 {
+	total := 0.0
+	for _, m := range p.msg.Engine.Models {
+		total += m.Share
 	}
 	if total <= 0 {
-		return 0
+		return 1 / float64(max(len(p.msg.Engine.Models), 1))
 	}
-	return own / total * float64(len(p.msg.Endpoints))
+	return model.Share / total
 }
 
-// place forms groups from free endpoints, the neediest model first.
+// place forms groups from free endpoints, the neediest model first. Members
+// that another group can complete for it go before groups of other models.
 func (p *Placer) place() {
 	for p.placeOne() {
 	}
-	p.steal()
 }
 
 func (p *Placer) placeOne() bool {
 	free := p.free()
 	for i, model := range p.byNeed() {
-		if i > 0 && len(p.msg.Demand) > 0 && p.ratios()[model.Name] > otherModelBelow {
-			continue
+		if i > 0 && len(p.msg.Demand) > 0 && (p.ratios()[model.Name] > otherModelBelow || p.closing()) {
+			return false
 		}
 		if members := p.choose(model, free); members != nil {
 			p.newGroup(model, members)
 			return true
 		}
+		if i == 0 && p.steal(model, free) {
+			return false
+		}
 	}
 	return false
 }
@@ -129,13 +151,11 @@
 
 // steal gives up one group of a model that has plenty where its members
 // complete a group of the neediest one.
-func (p *Placer) steal() {
+func (p *Placer) steal(needy describer.Model, free map[string][]tracker.Endpoint) bool {
 	if len(p.msg.Demand) == 0 || p.closing() {
-		return
+		return false
 	}
-	free := p.free()
 	ratios := p.ratios()
-	needy := p.byNeed()[0]
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		donor := p.groups[name]
 		model, ok := p.msg.Engine.Model(donor.Model)
@@ -150,9 +170,10 @@
 		after := min(ratios[needy.Name]+float64(needy.Size)/max(p.wanted(needy), 1), ratios[donor.Model]-float64(model.Size)/max(p.wanted(model), 1))
 		if after > before*stealGain {
 			p.startClose(donor, "its members complete a group of "+needy.Name, false)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // settled is how long a group serves before it may be given up.
