--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -48,6 +48,7 @@
 	Service string
 	Model   string // Model is empty for a plain service.
 	Avoid   []string
+	Patient bool // Patient requests may wait beyond the objective.
 	Now     time.Duration
 }
 
@@ -244,7 +245,7 @@
 		if k.service != want.Service || (k.grouped && k.model != want.Model) || slices.Contains(want.Avoid, id) || k.until > want.Now {
 			continue
 		}
-		if k.running() >= k.slots+c.waiting(k) {
+		if k.running() >= k.slots+c.waiting(k, want.Patient) {
 			continue
 		}
 		score := c.score(k)
@@ -259,8 +260,8 @@
 }
 
 // waiting is the number of requests that an endpoint may have waiting.
-func (c *Chooser) waiting(k *candidate) int {
-	if !k.grouped {
+func (c *Chooser) waiting(k *candidate, patient bool) int {
+	if !k.grouped || patient {
 		return k.slots
 	}
 	return k.slots / c.options.waitingPart
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -45,6 +45,7 @@
 	request.Host = e.r.Host
 	request.Header = g.dialect.Prepare(e.r.Header, Dispatch{
 		Instance: target.ID, Organisation: e.organisation, Left: e.until - timekeeper.Now(), LastEvent: e.lastEvent,
+		Urgency: e.urgency(),
 	})
 	response, err := g.client.Do(request)
 	if errors.Is(err, transporter.ErrUnreachable) {
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -20,9 +20,12 @@
 	// defaultBody bounds a body where the configuration does not.
 	defaultBody = 4 << 20
 	// comeBack is when a refused client should return: a group's next places.
-	comeBack = 250 * time.Millisecond
+	comeBack = 1500 * time.Millisecond
 	// lastNew is how long a stopping entry takes requests on open connections.
 	lastNew = 2500 * time.Millisecond
+	// freshShare is the least part of a route's time limit that a client has
+	// left when it comes for the first time.
+	freshShare = 0.93
 	// maxDeadline bounds a client's time limit.
 	maxDeadline = 10 * time.Minute
 )
@@ -50,6 +53,7 @@
 	eventAt      time.Duration // eventAt is when the newest event was forwarded.
 	gap          time.Duration // gap is the longest pause between events.
 	target       chooser.Target
+	patient      bool // patient tells that the client was refused before and comes back late.
 	outcome      string
 	reason       string
 	load         int // load is the estimated requests at the endpoint of the first attempt.
@@ -111,6 +115,7 @@
 		e.organisation = organisation.Name
 	}
 	e.service, _ = config.Service(split(route))
+	e.patient = e.call.Deadline > 0 && float64(e.call.Deadline) < freshShare*float64(route.Timeout)
 	limit := route.Timeout
 	if e.call.Deadline > 0 {
 		limit = min(limit, e.call.Deadline, maxDeadline)
@@ -212,6 +217,17 @@
 	http.Error(e.w, "may have run: "+reason, status)
 }
 
+// urgency is how soon an endpoint should begin the request.
+func (e *exchange) urgency() Urgency {
+	switch {
+	case e.writing:
+		return Begun
+	case e.patient:
+		return Patient
+	}
+	return Usual
+}
+
 // pick returns where the next attempt of a request goes.
 func (g *Gatekeeper) pick(e *exchange) (chooser.Target, bool) {
 	g.mu.Lock()
@@ -219,7 +235,7 @@
 	if e.attempts >= max(e.route.MaxAttempts, 1) {
 		return chooser.Target{}, false
 	}
-	want := chooser.Want{Service: e.service.Name, Avoid: e.avoid, Now: timekeeper.Now()}
+	want := chooser.Want{Patient: e.patient || e.writing, Service: e.service.Name, Avoid: e.avoid, Now: timekeeper.Now()}
 	if e.service.Engine != nil {
 		want.Model = e.call.Model
 	}
