Endpoints are drawn by the square of their free places

Cause (lines of requests): entries with the same reports went to one new or empty group together; groups told as nearly empty had pauses of 270 ms. Ruled out: wrong reports (the next one showed the load). Change: a weighted draw instead of the emptiest; an eighth of the places is kept free of usual requests, a quarter may wait for late ones.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -15,7 +15,6 @@
 package chooser
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -235,44 +234,60 @@
 // running estimates an endpoint's running and waiting requests.
 func (k *candidate) running() int { return max(k.reported-k.ownThen, 0) + k.own }
 
-// Pick returns the endpoint that begins a request the soonest, or false where
-// none can within the latency objective.
+// Pick draws an endpoint that can begin a request soon enough, or returns false
+// where none can. It draws by the square of the free places, so that entries
+// with the same old reports do not all go to the emptiest one.
 func (c *Chooser) Pick(want Want) (Target, bool) {
-	var best *candidate
-	bestScore := 0.0
-	for _, id := range c.order {
+	total := 0.0
+	weights := make([]float64, len(c.order))
+	for i, id := range c.order {
 		k := c.candidates[id]
 		if k.service != want.Service || (k.grouped && k.model != want.Model) || slices.Contains(want.Avoid, id) || k.until > want.Now {
 			continue
 		}
-		if k.running() >= k.slots+c.waiting(k, want.Patient) {
+		weights[i] = c.weight(k, want.Patient)
+		total += weights[i]
+	}
+	if total <= 0 {
+		return Target{}, false
+	}
+	drawn := c.options.random.Float64() * total
+	last := ""
+	for i, id := range c.order {
+		if weights[i] <= 0 {
 			continue
 		}
-		score := c.score(k)
-		if best == nil || cmp.Less(score, bestScore) {
-			best, bestScore = k, score
+		last = id
+		if drawn -= weights[i]; drawn < 0 {
+			break
 		}
 	}
-	if best == nil {
-		return Target{}, false
-	}
-	return best.target, true
+	return c.candidates[last].target, true
 }
 
-// waiting is the number of requests that an endpoint may have waiting.
-func (c *Chooser) waiting(k *candidate, patient bool) int {
-	if !k.grouped || patient {
-		return k.slots
+// places is the number of requests that may be at an endpoint: a usual request
+// must begin within its objective, a patient one may wait.
+func (c *Chooser) places(k *candidate, patient bool) int {
+	switch {
+	case !k.grouped:
+		return 2 * k.slots
+	case patient:
+		return k.slots + k.slots/c.options.waitingPart
 	}
-	return k.slots / c.options.waitingPart
+	return k.slots - k.slots/c.options.sparePart
 }
 
-// score is the load of an endpoint; an endpoint of another failure domain
-// counts as fuller, since bytes between domains are dear.
-func (c *Chooser) score(k *candidate) float64 {
-	score := float64(k.running()+1) / float64(k.slots) * max(k.pace, 1)
-	if k.domain != c.domain {
-		score += c.options.otherDomain
+// weight is the square of an endpoint's free part, larger in the own failure
+// domain, since bytes between domains are dear.
+func (c *Chooser) weight(k *candidate, patient bool) float64 {
+	places := c.places(k, patient)
+	free := float64(places-k.running()) / float64(places)
+	if free <= 0 {
+		return 0
+	}
+	weight := free * free / max(k.pace, 1)
+	if k.domain == c.domain {
+		weight *= c.options.ownDomain
 	}
-	return score
+	return weight
 }
--- a/internal/chooser/options.go
+++ b/internal/chooser/options.go
@@ -1,14 +1,20 @@
 package chooser
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
-	// defaultOtherDomain is the part of the places that an endpoint of the own
-	// failure domain may be fuller by.
-	defaultOtherDomain = 0.15
-	// defaultWaitingPart lets a group have a sixth of its places waiting, which
-	// start within a quarter of a second at the usual answer length.
-	defaultWaitingPart = 6
+	// defaultOwnDomain is how much likelier an endpoint of the own failure
+	// domain is than an equal one elsewhere.
+	defaultOwnDomain = 2
+	// defaultWaitingPart lets a quarter of the places wait again, which begin
+	// before a client gives up.
+	defaultWaitingPart = 4
+	// defaultSparePart keeps an eighth of the places free of usual requests,
+	// since a full group begins none within its objective.
+	defaultSparePart = 8
 	// defaultRestFirst is how long an endpoint rests after its first failure.
 	defaultRestFirst = 100 * time.Millisecond
 	// defaultRestMost bounds the rest, so that a mended endpoint serves again.
@@ -16,25 +22,32 @@
 )
 
 type options struct {
-	otherDomain float64
+	random      *rand.Rand
+	ownDomain   float64
 	waitingPart int
+	sparePart   int
 	restFirst   time.Duration
 	restMost    time.Duration
 }
 
 func defaults() options {
 	return options{
-		otherDomain: defaultOtherDomain, waitingPart: defaultWaitingPart,
-		restFirst: defaultRestFirst, restMost: defaultRestMost,
+		random: rand.New(rand.NewPCG(1, 1)), ownDomain: defaultOwnDomain, waitingPart: defaultWaitingPart,
+		sparePart: defaultSparePart, restFirst: defaultRestFirst, restMost: defaultRestMost,
 	}
 }
 
 // Option changes a setting of a Chooser.
 type Option func(*options)
 
-// WithOtherDomain sets how much fuller an endpoint of the own failure domain
-// may be.
-func WithOtherDomain(part float64) Option { return func(o *options) { o.otherDomain = part } }
+// WithSeed sets the seed of the draws; each entry has its own.
+func WithSeed(seed uint64) Option {
+	return func(o *options) { o.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// WithOwnDomain sets how much likelier an endpoint of the own failure domain
+// is than an equal one elsewhere.
+func WithOwnDomain(factor float64) Option { return func(o *options) { o.ownDomain = factor } }
 
 // WithRest sets how long a failing endpoint rests, at first and at most.
 func WithRest(first, most time.Duration) Option {
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -26,6 +26,7 @@
 	"papayaseam/internal/timekeeper"
 	"papayaseam/internal/transporter"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 )
 
@@ -151,7 +152,7 @@
 		cfg: cfg, log: logger, dialect: dialect, seeds: cfg.Controls,
 		client:  transporter.NewClient(transporter.WithDialTimeout(dialTimeout), transporter.WithIdle(idleConns, idleLife)),
 		inner:   transporter.NewClient(),
-		chooser: chooser.New(cfg.FailureDomain), budget: retrier.New(cfg.RetryRatio*retryShare, retryMost),
+		chooser: chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name))), budget: retrier.New(cfg.RetryRatio*retryShare, retryMost),
 		streams: map[*stream]struct{}{}, seen: map[string]*sight{}, demand: map[demandKey]float64{},
 	}
 }
