--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -56,6 +56,7 @@
 
 // FleetMsg replaces the view of the fleet.
 type FleetMsg struct {
+	Now       time.Duration
 	Endpoints []messenger.EndpointView
 	Groups    []messenger.GroupView
 	Entries   int // Entries is the number of entries that share the endpoints.
@@ -73,6 +74,7 @@
 
 // LoadMsg carries the load that an endpoint's answer told.
 type LoadMsg struct {
+	Now     time.Duration
 	ID      string
 	Running int
 	Waiting int
@@ -93,11 +95,39 @@
 	reported int // reported is the running and waiting requests last told.
 	ownThen  int // ownThen is this entry's part of them.
 	own      int
+	history  []ownAt       // history is what own was, the oldest first.
+	toldAt   time.Duration // toldAt is when an answer last told the load.
 	misses   int
 	until    time.Duration // until is when a failing endpoint is tried again.
 	pace     float64
 }
 
+// ownAt is the number of an entry's own requests at one moment.
+type ownAt struct {
+	at  time.Duration
+	own int
+}
+
+// remember notes the own requests now and forgets what is too old to be asked.
+func (k *candidate) remember(now, lag time.Duration) {
+	k.history = append(k.history, ownAt{now, k.own})
+	for len(k.history) > 1 && k.history[1].at <= now-lag {
+		k.history = k.history[1:]
+	}
+}
+
+// ownBefore returns the own requests at a moment past.
+func (k *candidate) ownBefore(at time.Duration) int {
+	own := 0
+	for _, h := range k.history {
+		if h.at > at {
+			break
+		}
+		own = h.own
+	}
+	return own
+}
+
 // Chooser holds the candidates. It is not safe for concurrent use.
 type Chooser struct {
 	options    options
@@ -132,6 +162,7 @@
 		if k := c.candidates[msg.ID]; k != nil {
 			k.reported = msg.Running + msg.Waiting
 			k.ownThen = k.own
+			k.toldAt = msg.Now
 		}
 	}
 }
@@ -174,8 +205,11 @@
 			k := c.add(old, head, g.Name, g.Epoch)
 			k.model = g.Model
 			k.pace = g.Pace
-			k.reported = g.Active + g.Queued
-			k.ownThen = k.own
+			if k.toldAt == 0 || msg.Now-k.toldAt > c.options.reportLag {
+				k.reported = g.Active + g.Queued
+				k.ownThen = k.ownBefore(msg.Now - c.options.reportLag)
+			}
+			k.remember(msg.Now, c.options.reportLag)
 		}
 	}
 	for _, view := range msg.Endpoints {
@@ -201,6 +235,7 @@
 	}
 	if was := old[view.Instance]; was != nil && was.target == k.target {
 		k.misses, k.until, k.reported, k.ownThen = was.misses, was.until, was.reported, was.ownThen
+		k.history, k.toldAt = was.history, was.toldAt
 	}
 	c.candidates[view.Instance] = k
 	return k
--- a/internal/chooser/options.go
+++ b/internal/chooser/options.go
@@ -15,6 +15,9 @@
 	// defaultSparePart keeps an eighth of the places free of usual requests,
 	// since a full group begins none within its objective.
 	defaultSparePart = 8
+	// defaultReportLag is how old a report is on its way from an engine over
+	// control to an entry.
+	defaultReportLag = 400 * time.Millisecond
 	// defaultRestFirst is how long an endpoint rests after its first failure.
 	defaultRestFirst = 100 * time.Millisecond
 	// defaultRestMost bounds the rest, so that a mended endpoint serves again.
@@ -26,6 +29,7 @@
 	ownDomain   float64
 	waitingPart int
 	sparePart   int
+	reportLag   time.Duration
 	restFirst   time.Duration
 	restMost    time.Duration
 }
@@ -33,7 +37,7 @@
 func defaults() options {
 	return options{
 		random: rand.New(rand.NewPCG(1, 1)), ownDomain: defaultOwnDomain, waitingPart: defaultWaitingPart,
-		sparePart: defaultSparePart, restFirst: defaultRestFirst, restMost: defaultRestMost,
+		sparePart: defaultSparePart, reportLag: defaultReportLag, restFirst: defaultRestFirst, restMost: defaultRestMost,
 	}
 }
 
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -77,7 +77,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.chooser.Update(chooser.LoadMsg{ID: target.ID, Running: answer.Running, Waiting: answer.Waiting})
+	g.chooser.Update(chooser.LoadMsg{Now: timekeeper.Now(), ID: target.ID, Running: answer.Running, Waiting: answer.Waiting})
 }
 
 // retryable reports whether a server's own failure may be tried elsewhere.
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -126,6 +126,7 @@
 	g.view = response.View
 	g.fleet.Groups = response.Groups
 	g.fleet.Entries = response.Entries
+	g.fleet.Now = timekeeper.Now()
 	g.chooser.Update(g.fleet)
 	g.cutLost()
 }
