--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -93,6 +93,7 @@
 	slots    int
 	grouped  bool
 	reported int // reported is the running and waiting requests last told.
+	queued   int // queued is the part of them that waits.
 	ownThen  int // ownThen is this entry's part of them.
 	own      int
 	history  []ownAt       // history is what own was, the oldest first.
@@ -135,6 +136,7 @@
 	candidates map[string]*candidate
 	order      []string
 	own        map[string]int
+	entries    int
 }
 
 // New returns a chooser of an entry in a failure domain.
@@ -161,6 +163,7 @@
 	case LoadMsg:
 		if k := c.candidates[msg.ID]; k != nil {
 			k.reported = msg.Running + msg.Waiting
+			k.queued = msg.Waiting
 			k.ownThen = k.own
 			k.toldAt = msg.Now
 		}
@@ -193,6 +196,7 @@
 
 func (c *Chooser) replace(msg FleetMsg) {
 	old := c.candidates
+	c.entries = msg.Entries
 	c.candidates = map[string]*candidate{}
 	byID := map[string]messenger.EndpointView{}
 	grouped := map[string]bool{}
@@ -207,6 +211,7 @@
 			k.pace = g.Pace
 			if k.toldAt == 0 || msg.Now-k.toldAt > c.options.reportLag {
 				k.reported = g.Active + g.Queued
+				k.queued = g.Queued
 				k.ownThen = k.ownBefore(msg.Now - c.options.reportLag)
 			}
 			k.remember(msg.Now, c.options.reportLag)
@@ -234,7 +239,7 @@
 		own: c.own[view.Instance],
 	}
 	if was := old[view.Instance]; was != nil && was.target == k.target {
-		k.misses, k.until, k.reported, k.ownThen = was.misses, was.until, was.reported, was.ownThen
+		k.misses, k.until, k.reported, k.queued, k.ownThen = was.misses, was.until, was.reported, was.queued, was.ownThen
 		k.history, k.toldAt = was.history, was.toldAt
 	}
 	c.candidates[view.Instance] = k
@@ -312,12 +317,22 @@
 	return k.slots - k.slots/c.options.sparePart
 }
 
+// ownPlaces bounds this entry's requests at an endpoint by its part of the
+// places, so that entries that do not see each other cannot fill it far beyond.
+func (c *Chooser) ownPlaces(k *candidate) int {
+	return max(int(float64(k.slots)*c.options.ownFactor/float64(max(c.entries, 1))), leastOwn)
+}
+
+// leastOwn lets a few requests of each entry be at any endpoint.
+const leastOwn = 3
+
 // weight is the square of an endpoint's free part, larger in the own failure
 // domain, since bytes between domains are dear.
 func (c *Chooser) weight(k *candidate, patient bool) float64 {
 	places := c.places(k, patient)
 	free := float64(places-k.running()) / float64(places)
-	if free <= 0 {
+	full := k.grouped && (k.own >= c.ownPlaces(k) || (!patient && k.queued > 0))
+	if free <= 0 || full {
 		return 0
 	}
 	weight := free * free / max(k.pace, 1)
--- a/internal/chooser/options.go
+++ b/internal/chooser/options.go
@@ -15,6 +15,8 @@
 	// defaultSparePart keeps an eighth of the places free of usual requests,
 	// since a full group begins none within its objective.
 	defaultSparePart = 8
+	// defaultOwnFactor is by how much clients may favour one entry.
+	defaultOwnFactor = 2
 	// defaultReportLag is how old a report is on its way from an engine over
 	// control to an entry.
 	defaultReportLag = 400 * time.Millisecond
@@ -29,6 +31,7 @@
 	ownDomain   float64
 	waitingPart int
 	sparePart   int
+	ownFactor   float64
 	reportLag   time.Duration
 	restFirst   time.Duration
 	restMost    time.Duration
@@ -37,7 +40,7 @@
 func defaults() options {
 	return options{
 		random: rand.New(rand.NewPCG(1, 1)), ownDomain: defaultOwnDomain, waitingPart: defaultWaitingPart,
-		sparePart: defaultSparePart, reportLag: defaultReportLag, restFirst: defaultRestFirst, restMost: defaultRestMost,
+		sparePart: defaultSparePart, reportLag: defaultReportLag, ownFactor: defaultOwnFactor, restFirst: defaultRestFirst, restMost: defaultRestMost,
 	}
 }
 
