--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -261,6 +261,18 @@
 	return k.running()
 }
 
+// Full returns the taken part of the places for a model.
+func (c *Chooser) Full(service, model string) float64 {
+	running, slots := 0, 0
+	for _, k := range c.candidates {
+		if k.service == service && k.model == model {
+			running += k.running()
+			slots += k.slots
+		}
+	}
+	return float64(running) / float64(max(slots, 1))
+}
+
 // Has reports whether the service has any candidate for a model.
 func (c *Chooser) Has(service, model string) bool {
 	for _, k := range c.candidates {
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -23,6 +23,7 @@
 	"papayaseam/internal/describer"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/retrier"
+	"papayaseam/internal/throttler"
 	"papayaseam/internal/timekeeper"
 	"papayaseam/internal/transporter"
 
@@ -128,6 +129,7 @@
 	controls []string
 	leader   string
 	chooser  *chooser.Chooser
+	throttle *throttler.Throttler
 	budget   *retrier.Budget
 	streams  map[*stream]struct{}
 	seen     map[string]*sight
@@ -153,7 +155,7 @@
 		client:  transporter.NewClient(transporter.WithDialTimeout(dialTimeout), transporter.WithIdle(idleConns, idleLife)),
 		inner:   transporter.NewClient(),
 		chooser: chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name))), budget: retrier.New(cfg.RetryRatio*retryShare, retryMost),
-		streams: map[*stream]struct{}{}, seen: map[string]*sight{}, demand: map[demandKey]float64{},
+		throttle: throttler.New(), streams: map[*stream]struct{}{}, seen: map[string]*sight{}, demand: map[demandKey]float64{},
 	}
 }
 
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -238,6 +238,10 @@
 	want := chooser.Want{Patient: e.patient || e.writing, Service: e.service.Name, Avoid: e.avoid, Now: timekeeper.Now()}
 	if e.service.Engine != nil {
 		want.Model = e.call.Model
+		fresh := !e.patient && e.attempts == 0 && throttling
+		if fresh && !g.throttle.Admits(want.Model, g.chooser.Full(want.Service, want.Model), rand.Float64()) {
+			return chooser.Target{}, false
+		}
 	}
 	target, ok := g.chooser.Pick(want)
 	if ok && e.attempts > 0 && !g.budget.Spend(e.service.Name) {
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"papayaseam/internal/chooser"
+	"papayaseam/internal/throttler"
 	"papayaseam/internal/timekeeper"
 
 	"github.com/cockroachdb/errors"
@@ -157,6 +158,16 @@
 	}
 }
 
+// noteFirst tells how soon the first event of a usual request came.
+func (g *Gatekeeper) noteFirst(e *exchange) {
+	if e.writing || e.patient || e.attempts > 1 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.throttle.Update(throttler.FirstMsg{Model: e.call.Model, Latency: timekeeper.Now() - e.began, Objective: e.route.Objective})
+}
+
 // pump forwards whole events as they come. It returns nil at the stream's own
 // end, and an error where it broke; a part of an event is never forwarded.
 func (g *Gatekeeper) pump(e *exchange, s *stream, body io.Reader) error {
@@ -179,6 +190,7 @@
 			continue
 		}
 		g.noteBytes(s)
+		g.noteFirst(e)
 		if err := e.writeEvent(event); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/gatekeeper/zz.go
@@ -0,0 +1,3 @@
+package gatekeeper
+
+const throttling = true
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -169,6 +169,7 @@
 		before := min(ratios[needy.Name], ratios[donor.Model])
 		after := min(ratios[needy.Name]+float64(needy.Size)/max(p.wanted(needy), 1), ratios[donor.Model]-float64(model.Size)/max(p.wanted(model), 1))
 		if after > before*stealGain {
+			donor.given = true
 			p.startClose(donor, "its members complete a group of "+needy.Name, false)
 			return true
 		}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -105,6 +105,7 @@
 	Cutover       bool          // Cutover tells that running work is ended while closing.
 	Reason        string        // Reason is why the group closes.
 
+	given   bool          // given tells that the group is given up for another one.
 	parted  time.Duration // parted is when all reachable members of a silent head had left.
 	ordered map[string]time.Duration
 }
@@ -401,10 +402,23 @@
 	p.close(g)
 }
 
+const (
+	// drainFor is how long a group's running work may end after a member said
+	// that it leaves.
+	drainFor = 3 * time.Second
+	// giveFor is how long it may end when its members are needed elsewhere; the
+	// rest goes on at other groups.
+	giveFor = 3 * time.Second
+)
+
 // close makes sure that the head can not serve any more, then gives its
 // members away.
 func (p *Placer) close(g *Group) {
-	if !g.Cutover && p.lost(g) != "" {
+	patience := drainFor
+	if g.given {
+		patience = giveFor
+	}
+	if !g.Cutover && (p.lost(g) != "" || p.msg.Now-g.Since > patience) {
 		g.Cutover = true
 		g.ordered = nil
 	}
