--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -17,7 +17,7 @@
 
 // otherModelBelow is the ratio of a model's instances to its demand below which
 // it may use instances that a needier model can not use yet.
-const otherModelBelow = 1.0
+const otherModelBelow = 1.2
 
 // readyIn estimates how long an endpoint takes to join a group of a model.
 func (p *Placer) readyIn(e tracker.Endpoint, model describer.Model) time.Duration {
@@ -113,7 +113,7 @@
 func (p *Placer) placeOne() bool {
 	free := p.free()
 	for i, model := range p.byNeed() {
-		if i > 0 && len(p.msg.Demand) > 0 && (p.ratios()[model.Name] > otherModelBelow || p.closing()) {
+		if i > 0 && len(p.msg.Demand) > 0 && (p.ratios()[model.Name] > otherModelBelow || p.giving()) {
 			return false
 		}
 		if members := p.choose(model, free); members != nil {
@@ -147,19 +147,19 @@
 
 // stealGain is how much better the worst-served model must stand after a group
 // of another model was given up for it.
-const stealGain = 1.1
+const stealGain = 1.15
 
 // steal gives up one group of a model that has plenty where its members
 // complete a group of the neediest one.
 func (p *Placer) steal(needy describer.Model, free map[string][]tracker.Endpoint) bool {
-	if len(p.msg.Demand) == 0 || p.closing() {
+	if len(p.msg.Demand) == 0 || p.giving() || (p.gaveAt != 0 && p.msg.Now-p.gaveAt < giveEvery) {
 		return false
 	}
 	ratios := p.ratios()
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		donor := p.groups[name]
 		model, ok := p.msg.Engine.Model(donor.Model)
-		if !ok || donor.State != Open || donor.Model == needy.Name || p.msg.Now-donor.Since < settled {
+		if !ok || donor.State != Open || donor.Model == needy.Name || p.msg.Now-donor.Since < settled || !p.allSound(donor) {
 			continue
 		}
 		warm := p.warm(free[donor.FabricDomain], needy)
@@ -170,6 +170,7 @@
 		after := min(ratios[needy.Name]+float64(needy.Size)/max(p.wanted(needy), 1), ratios[donor.Model]-float64(model.Size)/max(p.wanted(model), 1))
 		if after > before*stealGain {
 			donor.given = true
+			p.gaveAt = p.msg.Now
 			p.startClose(donor, "its members complete a group of "+needy.Name, false)
 			return true
 		}
@@ -177,13 +178,25 @@
 	return false
 }
 
+// giveEvery keeps two models from giving the same instances back and forth.
+const giveEvery = 4 * time.Second
+
+func (p *Placer) allSound(g *Group) bool {
+	for _, m := range g.Members {
+		if p.health(m) != sound || p.byID[m.Instance].Failing != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // settled is how long a group serves before it may be given up.
 const settled = 3 * time.Second
 
-// closing reports whether a group is being given up for another.
-func (p *Placer) closing() bool {
+// giving reports whether a group is being given up for another.
+func (p *Placer) giving() bool {
 	for _, g := range p.groups {
-		if g.State == Closing && !g.Cutover {
+		if g.State == Closing && g.given && g.parted == 0 {
 			return true
 		}
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -134,6 +134,7 @@
 	ended   map[string]bool
 	staging map[string]time.Duration
 	loads   []time.Duration
+	gaveAt  time.Duration // gaveAt is when a group was last given up for another.
 	msg     PlanMsg
 	byID    map[string]tracker.Endpoint
 	orders  []Order
