--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -24,6 +24,7 @@
 	demandLife = 4 * time.Second
 	// demandLeast is the least time over which a demand is measured.
 	demandLeast = 500 * time.Millisecond
+	censusEvery = time.Second
 	// sightingLife is how long what an entry saw counts.
 	sightingLife = 900 * time.Millisecond
 	// movingWithin is a pause that no sound stream exceeds.
@@ -68,6 +69,7 @@
 	nextProposal uint64
 	known        int // known is the number of endpoints at the last plan.
 	syncedTerm   int
+	censusAt     time.Duration
 	remembered   map[string]int // remembered maps identities to the boots whose addresses are in the log.
 }
 
@@ -192,6 +194,7 @@
 		}
 		before := p.Groups()
 		orders := p.Update(msg)
+		d.logCensus(service.Name, p)
 		d.logGroups(before, p.Groups())
 		for _, order := range orders {
 			d.sendOrder(ctx, order)
@@ -213,6 +216,16 @@
 	return len(f.groups) > 0 || now()-f.lastNew > settleFirst
 }
 
+// logCensus writes once a second what the endpoints of a service do; mu is held.
+func (d *Director) logCensus(service string, p *placer.Placer) {
+	if now()-d.fleet.censusAt < censusEvery {
+		return
+	}
+	d.fleet.censusAt = now()
+	c := p.Census()
+	d.log.Info("census", "service", service, "open", c.Open, "changing", c.Changing, "free", c.Free, "cold", c.Cold, "silent", c.Silent, "leaving", c.Leaving, "demand", p.Needs())
+}
+
 func (d *Director) logGroups(before, after []placer.Group) {
 	old := map[string]placer.Group{}
 	for _, g := range before {
@@ -242,10 +255,21 @@
 		defer cancel()
 		err := d.endpoints.Order(call, e.View, order, token)
 		d.log.Info("order", "endpoint", order.Instance, "op", order.Op, "group", order.Group, "model", order.Model, "token", token, "err", err)
+		if err != nil && order.Op == placer.OpStage {
+			d.unstage(e.View.Service, order.Instance)
+		}
 		d.pollOne(ctx, e.View, reportTimeout)
 	})
 }
 
+func (d *Director) unstage(service, instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.fleet.placers[service]; p != nil {
+		p.Unstage(instance)
+	}
+}
+
 // demandNow returns the instances that the measured work of each model keeps
 // busy; empty before there is any. mu is held.
 func (d *Director) demandNow() map[string]float64 {
--- /dev/null
+++ b/internal/placer/census.go
@@ -0,0 +1,50 @@
+package placer
+
+import (
+	"slices"
+
+	"papayaseam/internal/describer"
+)
+
+// Census counts the endpoints of a service by what they do. Stranded ones are
+// up and idle because their group cannot serve.
+type Census struct {
+	Open     int
+	Changing int // Changing endpoints are in groups that form, open or close.
+	Free     int // Free endpoints could join a group without a load.
+	Cold     int // Cold endpoints hold no model.
+	Silent   int
+	Leaving  int
+}
+
+// Census returns the counts of the last plan.
+func (p *Placer) Census() Census {
+	states := map[string]State{}
+	for _, g := range p.groups {
+		for _, m := range g.Members {
+			if !p.hasParted(g, m) {
+				states[m.Instance] = g.State
+			}
+		}
+	}
+	var c Census
+	for _, e := range p.msg.Endpoints {
+		state, grouped := states[e.View.Instance]
+		warm := slices.ContainsFunc(p.msg.Engine.Models, func(m describer.Model) bool { return p.readyIn(e, m) < m.Load })
+		switch h := p.health(Member{e.View.Instance, e.View.Born}); {
+		case h == silent || h == dead:
+			c.Silent++
+		case grouped && state == Open:
+			c.Open++
+		case grouped:
+			c.Changing++
+		case h == leaving:
+			c.Leaving++
+		case warm:
+			c.Free++
+		default:
+			c.Cold++
+		}
+	}
+	return c
+}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"papayaseam/internal/describer"
@@ -65,6 +67,17 @@
 	return ratios
 }
 
+// Needs returns for each model the instances held, wanted and kept busy.
+func (p *Placer) Needs() string {
+	var parts []string
+	ratios := p.ratios()
+	for _, m := range p.msg.Engine.Models {
+		wanted := p.wanted(m)
+		parts = append(parts, fmt.Sprintf("%s:%.0f/%.1f/%.1f", m.Name, ratios[m.Name]*max(wanted, 1), wanted, p.msg.Demand[m.Name]))
+	}
+	return strings.Join(parts, ",")
+}
+
 // wanted returns the instances that a model should have: its part of all by
 // the declared shares, or, once there is demand, what keeps its groups busy and
 // a reserve that grows with the square root of that number of groups, so that
@@ -149,33 +162,74 @@
 // of another model was given up for it.
 const stealGain = 1.15
 
-// steal gives up one group of a model that has plenty where its members
-// complete a group of the neediest one.
+// mostDonors bounds the groups that are given up for one.
+const mostDonors = 2
+
+// steal gives up groups of models that have plenty where their members and free
+// endpoints of the domain complete a group of the neediest model.
 func (p *Placer) steal(needy describer.Model, free map[string][]tracker.Endpoint) bool {
 	if len(p.msg.Demand) == 0 || p.giving() || (p.gaveAt != 0 && p.msg.Now-p.gaveAt < giveEvery) {
 		return false
 	}
-	ratios := p.ratios()
-	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
-		donor := p.groups[name]
-		model, ok := p.msg.Engine.Model(donor.Model)
-		if !ok || donor.State != Open || donor.Model == needy.Name || p.msg.Now-donor.Since < settled || !p.allSound(donor) {
-			continue
+	var best []*Group
+	for _, domain := range p.domains() {
+		donors := p.donors(domain, needy, len(p.warm(free[domain], needy)))
+		if donors != nil && (best == nil || len(donors) < len(best)) {
+			best = donors
 		}
-		warm := p.warm(free[donor.FabricDomain], needy)
-		if len(warm) == 0 || len(warm)+p.warmMembers(donor, needy) < needy.Size {
+	}
+	for _, donor := range best {
+		donor.given = true
+		p.gaveAt = p.msg.Now
+		p.startClose(donor, "its members complete a group of "+needy.Name, false)
+	}
+	return best != nil
+}
+
+func (p *Placer) domains() []string {
+	domains := map[string]bool{}
+	for _, g := range p.groups {
+		domains[g.FabricDomain] = true
+	}
+	return slices.Sorted(maps.Keys(domains))
+}
+
+// donors returns the groups of a domain whose members complete a group of the
+// neediest model beside the free ones, or nil where there are none or the
+// worst-served model would not gain by it.
+func (p *Placer) donors(domain string, needy describer.Model, free int) []*Group {
+	var donors []*Group
+	held := p.ratios()
+	before := held[needy.Name]
+	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
+		g := p.groups[name]
+		model, ok := p.msg.Engine.Model(g.Model)
+		if !ok || g.FabricDomain != domain || !p.mayGive(g, needy) || len(donors) == mostDonors {
 			continue
 		}
-		before := min(ratios[needy.Name], ratios[donor.Model])
-		after := min(ratios[needy.Name]+float64(needy.Size)/max(p.wanted(needy), 1), ratios[donor.Model]-float64(model.Size)/max(p.wanted(model), 1))
-		if after > before*stealGain {
-			donor.given = true
-			p.gaveAt = p.msg.Now
-			p.startClose(donor, "its members complete a group of "+needy.Name, false)
-			return true
+		donors = append(donors, g)
+		free += p.warmMembers(g, needy)
+		held[g.Model] -= float64(model.Size) / max(p.wanted(model), 1)
+		before = min(before, held[g.Model]+float64(model.Size)/max(p.wanted(model), 1))
+		if free >= needy.Size {
+			break
 		}
 	}
-	return false
+	if len(donors) == 0 || free < needy.Size {
+		return nil
+	}
+	after := held[needy.Name] + float64(needy.Size)/max(p.wanted(needy), 1)
+	for _, donor := range donors {
+		after = min(after, held[donor.Model])
+	}
+	if after <= before*stealGain {
+		return nil
+	}
+	return donors
+}
+
+func (p *Placer) mayGive(g *Group, needy describer.Model) bool {
+	return g.State == Open && g.Model != needy.Name && p.msg.Now-g.Since >= settled && p.allSound(g)
 }
 
 // giveEvery keeps two models from giving the same instances back and forth.
@@ -258,21 +312,46 @@
 			inGroup[m.Instance] = g
 		}
 	}
+	ready := func(e tracker.Endpoint) bool {
+		return e.ReportAt != 0 && p.health(Member{e.View.Instance, e.View.Born}) == sound && !e.Report.Busy
+	}
 	for _, e := range p.msg.Endpoints {
-		g := inGroup[e.View.Instance]
-		ready := e.ReportAt != 0 && p.health(Member{e.View.Instance, e.View.Born}) == sound && !e.Report.Busy
-		if ready && (g == nil || g.State == Open) {
-			p.stageOne(e)
+		if ready(e) && inGroup[e.View.Instance] == nil {
+			p.stageOne(e, p.msg.Engine.LoadsAtOnce)
+		}
+	}
+	for _, e := range p.msg.Endpoints {
+		if g := inGroup[e.View.Instance]; ready(e) && g != nil && g.State == Open {
+			p.stageOne(e, p.msg.Engine.LoadsAtOnce/groupedPart)
+		}
+	}
+}
+
+// groupedPart keeps most of the weight store for instances that serve nothing.
+const groupedPart = 3
+
+// loading counts the loads of hosts that have not ended; beyond the store's
+// limit each makes all others slower.
+func (p *Placer) loading() int {
+	n := 0
+	for id, s := range p.staging {
+		e, ok := p.byID[id]
+		ended := !ok || p.isSilent(e) || slices.Contains(e.Report.Staged, s.model) || p.msg.Now-s.at > stagingLife
+		if !ended {
+			n++
 		}
 	}
+	return n
 }
 
-func (p *Placer) stageOne(e tracker.Endpoint) {
+func (p *Placer) stageOne(e tracker.Endpoint, most int) {
 	id := e.View.Instance
-	if at, begun := p.staging[id]; begun && p.msg.Now-at < stagingLife {
+	s, begun := p.staging[id]
+	if begun && p.msg.Now-s.at < stagingLife && !slices.Contains(e.Report.Staged, s.model) {
 		return
 	}
-	if len(p.msg.Demand) > 0 && float64(p.recentLoads()+1) > p.msg.Engine.LoadsPerSec {
+	busy := p.loading() >= max(most, 1) || float64(p.recentLoads()+1) > p.msg.Engine.LoadsPerSec
+	if len(p.msg.Demand) > 0 && busy {
 		return
 	}
 	for _, model := range p.byNeed() {
@@ -282,12 +361,22 @@
 		if slices.Contains(e.Report.Staged, model.Name) {
 			return
 		}
-		p.staging[id] = p.msg.Now
+		p.staging[id] = stage{p.msg.Now, model.Name}
 		p.loads = append(p.loads, p.msg.Now)
 		p.orders = append(p.orders, Order{Instance: id, Born: e.View.Born, Op: OpStage, Model: model.Name, Orders: e.Report.Orders})
 		return
 	}
 }
 
+// stage is one load of a host.
+type stage struct {
+	at    time.Duration
+	model string
+}
+
+// Unstage tells that an order to load was not answered, so that it is sent
+// again.
+func (p *Placer) Unstage(instance string) { delete(p.staging, instance) }
+
 // stagingLife is longer than any load; after it a load counts as lost.
 const stagingLife = 40 * time.Second
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -132,7 +132,7 @@
 	counter int
 	groups  map[string]*Group
 	ended   map[string]bool
-	staging map[string]time.Duration
+	staging map[string]stage
 	loads   []time.Duration
 	gaveAt  time.Duration // gaveAt is when a group was last given up for another.
 	msg     PlanMsg
@@ -142,7 +142,7 @@
 
 // New returns a placer for one term of leadership.
 func New(term int, opts ...Option) *Placer {
-	p := &Placer{options: defaults(), term: term, groups: map[string]*Group{}, ended: map[string]bool{}, staging: map[string]time.Duration{}}
+	p := &Placer{options: defaults(), term: term, groups: map[string]*Group{}, ended: map[string]bool{}, staging: map[string]stage{}}
 	for _, opt := range opts {
 		opt(&p.options)
 	}
