Loads of hosts that have ended are forgotten

Cause (state of the placer in a log): a host that was given another model by a later join counted as loading for 40 s, so that only five loads were ordered in 36 s.

--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -306,6 +306,7 @@
 // a host in a group the neediest other model, a free one the neediest of all.
 // Before there is demand, loads are not bounded.
 func (p *Placer) stage() {
+	p.forgetLoads()
 	inGroup := map[string]*Group{}
 	for _, g := range p.groups {
 		for _, m := range g.Members {
@@ -327,30 +328,24 @@
 	}
 }
 
-// groupedPart keeps most of the weight store for instances that serve nothing.
+// groupedPart keeps most of the weight store for instances that serve nothing;
+// beyond the store's limit each load makes all others slower.
 const groupedPart = 3
 
-// loading counts the loads of hosts that have not ended; beyond the store's
-// limit each makes all others slower.
-func (p *Placer) loading() int {
-	n := 0
-	for id, s := range p.staging {
+// forgetLoads drops the loads of hosts that have ended.
+func (p *Placer) forgetLoads() {
+	maps.DeleteFunc(p.staging, func(id string, s stage) bool {
 		e, ok := p.byID[id]
-		ended := !ok || p.isSilent(e) || slices.Contains(e.Report.Staged, s.model) || p.msg.Now-s.at > stagingLife
-		if !ended {
-			n++
-		}
-	}
-	return n
+		return !ok || p.isSilent(e) || slices.Contains(e.Report.Staged, s.model) || p.msg.Now-s.at > stagingLife
+	})
 }
 
 func (p *Placer) stageOne(e tracker.Endpoint, most int) {
 	id := e.View.Instance
-	s, begun := p.staging[id]
-	if begun && p.msg.Now-s.at < stagingLife && !slices.Contains(e.Report.Staged, s.model) {
+	if _, begun := p.staging[id]; begun {
 		return
 	}
-	busy := p.loading() >= max(most, 1) || float64(p.recentLoads()+1) > p.msg.Engine.LoadsPerSec
+	busy := len(p.staging) >= max(most, 1) || float64(p.recentLoads()+1) > p.msg.Engine.LoadsPerSec
 	if len(p.msg.Demand) > 0 && busy {
 		return
 	}
