Events are flushed before a part of the next one; tests of the entry

Cause (TestStreamThatMayNotBeResumedNeverLooksComplete): whole events stayed in the buffer while the next one had come in part, and were lost when it broke. Change: flush unless another whole event is buffered. Tests of the entry with stand-ins for control and endpoints: verdicts, keys, lease, resumption, stops. Conclusion: events now leave as they come.

--- /dev/null
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -0,0 +1,451 @@
+package gatekeeper_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"papayaseam/internal/exposer"
+	"papayaseam/internal/gatekeeper"
+	"papayaseam/internal/messenger"
+	"papayaseam/platform"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const document = `{"version":3,"routes":[
+{"name":"orders","host":"a.example","path_prefix":"/orders/","kind":"unsafe","timeout_ms":2000,"service":"desk","max_attempts":2},
+{"name":"look","host":"a.example","path_prefix":"/look/","kind":"safe","timeout_ms":2000,"service":"desk","max_attempts":2},
+{"name":"verse","host":"a.example","path_prefix":"/verse/","kind":"streaming","timeout_ms":4000,"target_latency_ms":400,"service":"writers","max_attempts":2,"stream_resume":true},
+{"name":"once","host":"a.example","path_prefix":"/once/","kind":"streaming","timeout_ms":4000,"target_latency_ms":400,"service":"writers","max_attempts":2}],
+"services":[{"name":"desk"},{"name":"writers","engine":{"slots":8,"models":[{"name":"m","size":2,"share":1,"pace":1,"load_s":1,"warm_s":1}]}}],
+"tenants":[{"name":"press","api_keys":["k1"]}],"limits":{"max_body_bytes":1000}}`
+
+// system is one entry with a stand-in for control and for endpoints.
+type system struct {
+	t         *testing.T
+	entry     *gatekeeper.Gatekeeper
+	front     *httptest.Server
+	mu        sync.Mutex
+	response  messenger.FleetResponse
+	endpoints []*endpoint
+}
+
+type endpoint struct {
+	server *httptest.Server
+	mu     sync.Mutex
+	seen   []*http.Request
+	bodies []string
+}
+
+func newSystem(t *testing.T, lease time.Duration) *system {
+	s := &system{t: t}
+	control := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(s.response)
+	}))
+	t.Cleanup(control.Close)
+	address := strings.TrimPrefix(control.URL, "http://")
+	s.entry = gatekeeper.New(gatekeeper.Config{
+		Name: "entry", FailureDomain: "ne-a", Controls: []string{address}, Lease: lease, RetryRatio: 1, Decode: platform.DecodeConfiguration,
+	}, platform.Dialect{}, exposer.NewLogger(io.Discard, "entry"))
+	s.front = httptest.NewServer(s.entry)
+	t.Cleanup(s.front.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.entry.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return s
+}
+
+// add starts an endpoint of a service.
+func (s *system) add(service string, handle http.HandlerFunc) *endpoint {
+	e := &endpoint{}
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		e.mu.Lock()
+		e.seen = append(e.seen, r.Clone(context.Background()))
+		e.bodies = append(e.bodies, string(body))
+		e.mu.Unlock()
+		w.Header().Set("Papayaseam-Attempt-Id", r.Header.Get("Papayaseam-Attempt-Id"))
+		w.Header().Set("Papayaseam-Server-Seal", "seal-of-"+strconv.Itoa(len(s.endpoints)))
+		handle(w, r)
+	}))
+	s.t.Cleanup(e.server.Close)
+	id := fmt.Sprintf("i-%d", len(s.endpoints))
+	s.endpoints = append(s.endpoints, e)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	view := messenger.EndpointView{Instance: id, Born: 1, Address: strings.TrimPrefix(e.server.URL, "http://"), Service: service, Slots: 8}
+	s.response.Endpoints = append(s.response.Endpoints, view)
+	if service == "writers" {
+		s.response.Groups = append(s.response.Groups, messenger.GroupView{Name: "g" + id, Epoch: 1, Service: service, Model: "m", Members: []string{id}, Open: true})
+	}
+	s.response.View++
+	return e
+}
+
+// start lets control tell the configuration and waits until the entry is ready.
+func (s *system) start() {
+	s.mu.Lock()
+	s.response.Confirmed, s.response.Version, s.response.Document, s.response.Term = true, 3, document, 1
+	s.mu.Unlock()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if s.entry.Ready() {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func (s *system) confirm(confirmed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.response.Confirmed = confirmed
+}
+
+func (s *system) call(method, path, body string, headers ...string) (*http.Response, string, error) {
+	r, err := http.NewRequest(method, s.front.URL+path, strings.NewReader(body))
+	assert.NilError(s.t, err)
+	r.Host = "a.example"
+	r.Header.Set("Authorization", "Bearer k1")
+	r.Header.Set("Papayaseam-Attempt-Id", "a1")
+	r.Header.Set("Papayaseam-Model", "m")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err
+}
+
+func (e *endpoint) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.seen)
+}
+
+func answer(status int, text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Papayaseam-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func TestEntryWithoutConfigurationSaysNotRun(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	for _, path := range []string{"/orders/1", "/nowhere"} {
+		response, _, err := s.call(http.MethodPost, path, "x")
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+		assert.Assert(t, response.Header.Get("Retry-After") != "")
+	}
+}
+
+func TestRequestIsForwardedWithWhatTheSystemAdds(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	e := s.add("desk", answer(200, "printed"))
+	s.start()
+	response, body, err := s.call(http.MethodPost, "/orders/a%2Fb?x=1", "parchment", "Papayaseam-Tenant", "forged", "Papayaseam-Deadline-Ms", "1500")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "printed")
+	assert.Equal(t, response.Header.Get("Papayaseam-Server-Seal"), "seal-of-1")
+	seen := e.seen[0]
+	assert.Equal(t, seen.URL.RequestURI(), "/orders/a%2Fb?x=1")
+	assert.Equal(t, seen.Host, "a.example")
+	assert.Equal(t, e.bodies[0], "parchment")
+	assert.Equal(t, seen.Header.Get("Authorization"), "")
+	assert.Equal(t, seen.Header.Get("Papayaseam-Tenant"), "press")
+	assert.Equal(t, seen.Header.Get("Papayaseam-Expect-Instance"), "i-0")
+	left, err := strconv.Atoi(seen.Header.Get("Papayaseam-Deadline-Ms"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 1500, "left %d ms", left)
+}
+
+func TestWrongKeyRouteAndBodyAreToldApart(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	s.add("desk", answer(200, "printed"))
+	s.start()
+	for _, c := range []struct {
+		path, key, body string
+		status          int
+	}{
+		{"/orders/1", "k2", "x", http.StatusUnauthorized},
+		{"/other/1", "k1", "x", http.StatusNotFound},
+		{"/orders/1", "k1", strings.Repeat("x", 1001), http.StatusRequestEntityTooLarge},
+	} {
+		response, _, err := s.call(http.MethodPost, c.path, c.body, "Authorization", "Bearer "+c.key)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, c.status, c.path)
+	}
+	assert.Equal(t, s.endpoints[0].count(), 0)
+}
+
+func TestOrderThatMayHaveRunIsNeverSentAgain(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	a, b := s.add("desk", hangUp), s.add("desk", hangUp)
+	s.start()
+	response, _, err := s.call(http.MethodPost, "/orders/1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, a.count()+b.count(), 1)
+}
+
+func TestReadMethodOfAnUnsafeRouteIsNotSentAgainEither(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	calls := 0
+	e := s.add("desk", func(w http.ResponseWriter, r *http.Request) {
+		if calls++; calls > 1 {
+			hangUp(w, r)
+		}
+	})
+	s.start()
+	_, _, err := s.call(http.MethodGet, "/orders/1", "")
+	assert.NilError(t, err)
+	// The second call goes over a kept connection, where the library would replay.
+	response, _, err := s.call(http.MethodGet, "/orders/2", "")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, e.count(), 2)
+}
+
+func TestOrderThatDidNotRunGoesElsewhere(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	a, b := s.add("desk", refuse), s.add("desk", answer(200, "printed"))
+	s.start()
+	for range 8 {
+		response, _, err := s.call(http.MethodPost, "/orders/1", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, 200)
+	}
+	assert.Equal(t, b.count(), 8)
+	assert.Assert(t, a.count() <= 8)
+}
+
+func TestRefusalByAllIsSaidToBeNotRun(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	s.add("desk", refuse)
+	s.start()
+	response, _, err := s.call(http.MethodPost, "/orders/1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+}
+
+func TestAnswerOfAnotherRequestIsNotPassedOn(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	s.add("desk", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Papayaseam-Attempt-Id", "a0")
+		_, _ = io.WriteString(w, "somebody else's")
+	})
+	s.start()
+	response, body, err := s.call(http.MethodPost, "/orders/1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Assert(t, !strings.Contains(body, "somebody"))
+}
+
+func TestSafeRequestIsTriedElsewhereAfterAFailure(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	s.add("desk", answer(500, "broken"))
+	s.add("desk", answer(200, "found"))
+	s.start()
+	for range 6 {
+		response, body, err := s.call(http.MethodGet, "/look/1", "")
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, 200)
+		assert.Equal(t, body, "found")
+	}
+}
+
+func TestKeyedRequestsStopWhenTheLeaseHasRunOut(t *testing.T) {
+	s := newSystem(t, 300*time.Millisecond)
+	e := s.add("desk", answer(200, "printed"))
+	s.start()
+	s.confirm(false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !s.entry.Ready() {
+			return poll.Success()
+		}
+		return poll.Continue("still ready")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	response, _, err := s.call(http.MethodPost, "/orders/1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, e.count(), 0)
+}
+
+// events writes events from one number to another.
+func events(w http.ResponseWriter, from, to int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := from; i <= to; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: word%d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func wholeStream(to int) string {
+	var b strings.Builder
+	for i := 1; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: word%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// breaking answers the first call up to an event and half of the next, then
+// hangs up; a call that resumes is answered to the end.
+func breaking(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if from > 0 {
+		events(w, from+1, 6)
+		return
+	}
+	events(w, 1, 3)
+	_, _ = io.WriteString(w, "id: 4\ndata: wo")
+	_ = http.NewResponseController(w).Flush()
+	hangUp(w, r)
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	s.add("writers", breaking)
+	s.add("writers", breaking)
+	s.start()
+	response, body, err := s.call(http.MethodPost, "/verse/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, body, wholeStream(6))
+	assert.Assert(t, strings.HasPrefix(response.Header.Get("Papayaseam-Server-Seal"), "seal-of-"))
+	assert.Equal(t, s.endpoints[0].count()+s.endpoints[1].count(), 2)
+}
+
+func TestStreamThatMayNotBeResumedNeverLooksComplete(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	s.add("writers", breaking)
+	s.add("writers", breaking)
+	s.start()
+	_, body, err := s.call(http.MethodPost, "/once/1", "prompt")
+	assert.Assert(t, err != nil, "the stream ended as complete")
+	assert.Equal(t, body, wholeStream(3))
+	assert.Equal(t, s.endpoints[0].count()+s.endpoints[1].count(), 1)
+}
+
+func TestStreamOfALostGroupGoesOnElsewhere(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	standing := func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		if from > 0 {
+			events(w, from+1, 6)
+			return
+		}
+		events(w, 1, 3)
+		<-r.Context().Done()
+	}
+	s.add("writers", standing)
+	s.add("writers", standing)
+	s.start()
+	done := make(chan string, 1)
+	go func() {
+		_, body, _ := s.call(http.MethodPost, "/verse/1", "prompt")
+		done <- body
+	}()
+	first := -1
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for i, e := range s.endpoints {
+			if e.count() > 0 {
+				first = i
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no attempt yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	s.mu.Lock()
+	s.response.Groups[first].Open = false
+	s.response.Groups[first].Broken = true
+	s.response.View++
+	s.mu.Unlock()
+	assert.Equal(t, <-done, wholeStream(6))
+}
+
+func TestClientThatLeavesEndsTheWork(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	ended := make(chan struct{})
+	s.add("writers", func(w http.ResponseWriter, r *http.Request) {
+		events(w, 1, 1)
+		<-r.Context().Done()
+		close(ended)
+	})
+	s.start()
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.front.URL+"/verse/1", strings.NewReader("p"))
+	assert.NilError(t, err)
+	r.Host = "a.example"
+	r.Header.Set("Authorization", "Bearer k1")
+	r.Header.Set("Papayaseam-Model", "m")
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	cancel()
+	_ = response.Body.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the endpoint still works after its client has left")
+	}
+}
+
+func TestStoppingEntryIsNotReadyAndEndsItsRequests(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	release := make(chan struct{})
+	s.add("desk", func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "printed")
+	})
+	s.start()
+	done := make(chan string, 1)
+	go func() {
+		_, body, _ := s.call(http.MethodPost, "/orders/1", "x")
+		done <- body
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.entry.Open() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not open")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	drained := make(chan struct{})
+	go func() {
+		s.entry.Drain(context.Background())
+		close(drained)
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !s.entry.Ready() {
+			return poll.Success()
+		}
+		return poll.Continue("still ready")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	close(release)
+	assert.Equal(t, <-done, "printed")
+	<-drained
+}
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -195,12 +195,19 @@
 			return err
 		}
 		event = event[:0]
-		if reader.Buffered() == 0 {
+		if !wholeEventBuffered(reader) {
 			_ = flusher.Flush()
 		}
 	}
 }
 
+// wholeEventBuffered reports whether another event can be forwarded at once, so
+// that both go in one write.
+func wholeEventBuffered(reader *bufio.Reader) bool {
+	buffered, _ := reader.Peek(reader.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n"))
+}
+
 // endOf judges the end of an endpoint's stream.
 func endOf(rest []byte, err error) error {
 	if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
