An answer of our own bears none of an endpoint's head

before its first event; when the stream broke before that, our 502 or 504 bore the endpoint's proof. Test: TestOwnFailureBearsNoProofOfAnEndpoint, red before the change, green after.

--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -352,6 +352,21 @@
 	assert.Equal(t, s.endpoints[0].count()+s.endpoints[1].count(), 1)
 }
 
+func TestOwnFailureBearsNoProofOfAnEndpoint(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	headOnly := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "id: 1\ndata: wo")
+		_ = http.NewResponseController(w).Flush()
+		hangUp(w, r)
+	}
+	s.add("writers", headOnly)
+	s.start()
+	response, _, err := s.call(http.MethodPost, "/verse/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, response.Header.Get("Papayaseam-Server-Seal"), "")
+}
+
 func TestStreamOfALostGroupGoesOnElsewhere(t *testing.T) {
 	s := newSystem(t, time.Minute)
 	standing := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -49,6 +49,7 @@
 	offered      bool // offered tells that an endpoint has read the request and may have run it.
 	writing      bool // writing tells that the answer has begun.
 	lastEvent    string
+	header       http.Header   // header is that of the newest attempt's answer.
 	firstAt      time.Duration // firstAt is when the first event was forwarded; 0 before.
 	eventAt      time.Duration // eventAt is when the newest event was forwarded.
 	gap          time.Duration // gap is the longest pause between events.
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -96,9 +96,7 @@
 		outcome = chooser.Served
 		return g.passFailure(e, response)
 	}
-	if !e.writing {
-		g.dialect.Copy(e.w.Header(), response.Header)
-	}
+	e.header = response.Header
 	err = g.pump(e, s, response.Body)
 	if err != nil {
 		outcome = outcomeOf(ctx, unknown)
@@ -107,11 +105,19 @@
 	outcome = chooser.Served
 	e.outcome = "answered"
 	if !e.writing {
-		e.w.WriteHeader(http.StatusOK)
+		g.begin(e)
 	}
 	return true, answered, nil
 }
 
+// begin writes the head of a stream's answer, that of the endpoint whose event
+// comes first; an answer of our own must bear none of it.
+func (g *Gatekeeper) begin(e *exchange) {
+	e.writing = true
+	g.dialect.Copy(e.w.Header(), e.header)
+	e.w.WriteHeader(http.StatusOK)
+}
+
 // passFailure passes an endpoint's own failure on, unless the answer has begun.
 func (g *Gatekeeper) passFailure(e *exchange, response *http.Response) (bool, verdict, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxWhole))
@@ -191,7 +197,7 @@
 		}
 		g.noteBytes(s)
 		g.noteFirst(e)
-		if err := e.writeEvent(event); err != nil {
+		if err := g.writeEvent(e, event); err != nil {
 			return err
 		}
 		event = event[:0]
@@ -220,12 +226,11 @@
 }
 
 // writeEvent forwards one event and remembers its id.
-func (e *exchange) writeEvent(event []byte) error {
+func (g *Gatekeeper) writeEvent(e *exchange, event []byte) error {
 	now := timekeeper.Now()
 	if !e.writing {
-		e.writing = true
 		e.firstAt = now
-		e.w.WriteHeader(http.StatusOK)
+		g.begin(e)
 	} else {
 		e.gap = max(e.gap, now-e.eventAt)
 	}
