--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -39,12 +39,15 @@
 )
 
 const (
-	tickEvery      = 50 * time.Millisecond
-	planEvery      = 50 * time.Millisecond
-	enrolEvery     = 200 * time.Millisecond
-	inboxSize      = 4096
-	batchSize      = 256
-	peerQueue      = 1024
+	tickEvery  = 50 * time.Millisecond
+	planEvery  = 50 * time.Millisecond
+	enrolEvery = 200 * time.Millisecond
+	inboxSize  = 4096
+	batchSize  = 256
+	// peerQueue bounds what waits for a peer that does not read; the log repeats
+	// what is dropped.
+	peerQueue      = 64
+	endsQueue      = 1024
 	replicaTimeout = 700 * time.Millisecond
 	commandTimeout = 900 * time.Millisecond
 	maxWait        = time.Second
@@ -144,7 +147,7 @@
 func New(cfg Config, endpoints Endpoints, logger *log.Logger) (*Director, error) {
 	d := &Director{
 		cfg: cfg, log: logger, client: transporter.NewClient(), endpoints: endpoints,
-		inbox: make(chan any, inboxSize), peers: map[string]chan messenger.ReplicaMessage{}, ended: make(chan string, peerQueue),
+		inbox: make(chan any, inboxSize), peers: map[string]chan messenger.ReplicaMessage{}, ended: make(chan string, endsQueue),
 		proposals: map[uint64]chan result{}, reads: map[uint64][]chan result{}, waiters: map[int]waiter{},
 		seeds: cfg.Seeds, heard: map[string]time.Duration{}, homes: map[string]string{}, state: cataloguer.New(), fleet: newFleet(),
 	}
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -341,9 +341,12 @@
 	}
 }
 
+// peerBatch bounds the messages in one call to a peer.
+const peerBatch = 16
+
 func drain(first messenger.ReplicaMessage, queue <-chan messenger.ReplicaMessage) []messenger.ReplicaMessage {
 	messages := []messenger.ReplicaMessage{first}
-	for len(messages) < batchSize {
+	for len(messages) < peerBatch {
 		select {
 		case next := <-queue:
 			messages = append(messages, next)
--- a/internal/replicator/options.go
+++ b/internal/replicator/options.go
@@ -4,6 +4,9 @@
 	defaultElectionTicks  = 10
 	defaultHeartbeatTicks = 2
 	defaultBatchEntries   = 512
+	// defaultBatchBytes keeps one message far below the memory of a process,
+	// however far a replica is behind.
+	defaultBatchBytes = 256 << 10
 )
 
 type options struct {
@@ -11,6 +14,7 @@
 	electionTicks  int
 	heartbeatTicks int
 	batchEntries   int
+	batchBytes     int
 }
 
 func defaults() options {
@@ -18,6 +22,7 @@
 		electionTicks:  defaultElectionTicks,
 		heartbeatTicks: defaultHeartbeatTicks,
 		batchEntries:   defaultBatchEntries,
+		batchBytes:     defaultBatchBytes,
 	}
 }
 
@@ -36,3 +41,7 @@
 
 // WithBatchEntries sets the most entries in one append message.
 func WithBatchEntries(n int) Option { return func(o *options) { o.batchEntries = n } }
+
+// WithBatchBytes sets the most bytes of entries in one append message; a single
+// entry may be larger.
+func WithBatchBytes(n int) Option { return func(o *options) { o.batchBytes = n } }
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -154,7 +154,7 @@
 		p.next = snapshot.Index + 1
 		return
 	}
-	last := min(m.lastIndex(), previous+m.options.batchEntries)
+	last := m.batchEnd(previous)
 	m.send(id, messenger.ReplicaMessage{
 		Kind: KindAppend, Index: previous, LogTerm: term, Commit: m.commit,
 		Entries: slices.Clone(m.slice(previous+1, last)),
@@ -162,6 +162,19 @@
 	p.next = last + 1
 }
 
+// batchEnd returns the last index of a batch that begins behind an index.
+func (m *Machine) batchEnd(previous int) int {
+	last := min(m.lastIndex(), previous+m.options.batchEntries)
+	bytes := 0
+	for index := previous + 1; index <= last; index++ {
+		bytes += len(m.entries[index-m.snapshot.Index-1].Data)
+		if bytes > m.options.batchBytes && index > previous+1 {
+			return index - 1
+		}
+	}
+	return last
+}
+
 func (m *Machine) takeAppendAnswer(message messenger.ReplicaMessage) {
 	p := m.progress[message.From]
 	if m.role != Leader || p == nil {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -205,7 +205,7 @@
 func TestLogHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "replicas")
-		c := newCluster(t, n, rapid.Uint64().Draw(t, "seed"), WithBatchEntries(3))
+		c := newCluster(t, n, rapid.Uint64().Draw(t, "seed"), WithBatchEntries(3), WithBatchBytes(10))
 		steps := rapid.IntRange(50, 400).Draw(t, "steps")
 		for range steps {
 			c.randomStep(t)
@@ -334,6 +334,34 @@
 
 // TestVoteSurvivesARestart has a replica vote, restart from its disk, and be
 // asked by another candidate of the same term.
+func TestReplicaFarBehindIsSentBoundedBatches(t *testing.T) {
+	const most = 100
+	c := newCluster(t, 3, 1, WithBatchBytes(most))
+	c.settle(40)
+	leader := c.leader()
+	behind := c.ids()[0]
+	if behind == leader {
+		behind = c.ids()[1]
+	}
+	c.cut[behind] = true
+	for range 200 {
+		c.propose(leader, -1)
+		c.settle(1)
+	}
+	clear(c.cut)
+	c.step(leader, TickMsg{}, -1)
+	for n := 0; len(c.network) > 0 && n < 10000; n++ {
+		size := 0
+		for _, entry := range c.network[0].Entries {
+			size += len(entry.Data)
+		}
+		assert.Assert(t, size <= most, "%d bytes in one message", size)
+		c.deliver(0, -1)
+	}
+	c.settle(60)
+	assert.DeepEqual(t, c.applied[behind], c.agreed)
+}
+
 func TestVoteSurvivesARestart(t *testing.T) {
 	c := newCluster(t, 3, 1)
 	voter := c.ids()[0]
