--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"papayaseam/internal/cataloguer"
+	"papayaseam/internal/describer"
 	"papayaseam/internal/enroller"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/packer"
 	"papayaseam/internal/replicator"
 
 	"github.com/cockroachdb/errors"
@@ -197,7 +199,7 @@
 	if version == 0 {
 		return
 	}
-	config, err := d.cfg.Decode([]byte(document))
+	config, err := d.decode(document)
 	if err != nil {
 		d.log.Error("configuration unreadable", "version", version, "err", err)
 		return
@@ -207,6 +209,14 @@
 	d.log.Info("configuration committed", "version", version, "routes", len(config.Routes))
 }
 
+func (d *Director) decode(packed string) (*describer.Configuration, error) {
+	document, err := packer.Unpack(packed)
+	if err != nil {
+		return nil, err
+	}
+	return d.cfg.Decode(document)
+}
+
 func (d *Director) noteVoters() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -8,6 +8,7 @@
 
 	"papayaseam/internal/describer"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/packer"
 	"papayaseam/internal/tracker"
 	"papayaseam/internal/transporter"
 
@@ -283,7 +284,11 @@
 	if err := config.Check(); err != nil {
 		return err
 	}
-	answer := d.document(ctx, messenger.DocumentRequest{Version: config.Version, Document: string(document)})
+	packed, err := packer.Pack(document)
+	if err != nil {
+		return errors.Mark(err, describer.ErrInvalid)
+	}
+	answer := d.document(ctx, messenger.DocumentRequest{Version: config.Version, Document: packed})
 	if !answer.Accepted {
 		return ErrOutcomeUnknown
 	}
@@ -297,7 +302,8 @@
 	if !answer.Known || answer.Version == 0 {
 		return "", ErrNoLeader
 	}
-	return answer.Document, nil
+	document, err := packer.Unpack(answer.Document)
+	return string(document), err
 }
 
 // document commits a declared configuration, or reads the newest one where the
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -16,6 +16,7 @@
 	"papayaseam/internal/exposer"
 	"papayaseam/internal/gatekeeper"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/packer"
 	"papayaseam/platform"
 
 	"gotest.tools/v3/assert"
@@ -100,8 +101,10 @@
 
 // start lets control tell the configuration and waits until the entry is ready.
 func (s *system) start() {
+	packed, err := packer.Pack([]byte(document))
+	assert.NilError(s.t, err)
 	s.mu.Lock()
-	s.response.Confirmed, s.response.Version, s.response.Document, s.response.Term = true, 3, document, 1
+	s.response.Confirmed, s.response.Version, s.response.Document, s.response.Term = true, 3, packed, 1
 	s.mu.Unlock()
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
 		if s.entry.Ready() {
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"papayaseam/internal/chooser"
+	"papayaseam/internal/describer"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/packer"
 	"papayaseam/internal/timekeeper"
 )
 
@@ -95,7 +97,7 @@
 		next.confirmed = max(began, s.confirmed)
 	}
 	if response.Document != "" && (next.config == nil || response.Version > next.config.Version) {
-		config, err := g.cfg.Decode([]byte(response.Document))
+		config, err := g.decode(response.Document)
 		if err != nil {
 			g.log.Error("configuration unreadable", "version", response.Version, "err", err)
 			return false
@@ -111,6 +113,14 @@
 	return true
 }
 
+func (g *Gatekeeper) decode(packed string) (*describer.Configuration, error) {
+	document, err := packer.Unpack(packed)
+	if err != nil {
+		return nil, err
+	}
+	return g.cfg.Decode(document)
+}
+
 func (g *Gatekeeper) takeFleet(response messenger.FleetResponse) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -28,7 +28,7 @@
 	// Accepted corresponds to the JSON schema field "accepted".
 	Accepted bool `json:"accepted,omitempty,omitzero"`
 
-	// Document corresponds to the JSON schema field "document".
+	// The packed document.
 	Document string `json:"document,omitempty,omitzero"`
 
 	// Known corresponds to the JSON schema field "known".
@@ -40,7 +40,7 @@
 
 // A whole configuration that an operator declares, or a read of the newest one.
 type DocumentRequest struct {
-	// Document corresponds to the JSON schema field "document".
+	// The packed document.
 	Document string `json:"document,omitempty,omitzero"`
 
 	// Hops corresponds to the JSON schema field "hops".
@@ -130,7 +130,7 @@
 	// Departure corresponds to the JSON schema field "departure".
 	Departure *Departure `json:"departure,omitempty,omitzero"`
 
-	// Document corresponds to the JSON schema field "document".
+	// The packed document.
 	Document string `json:"document,omitempty,omitzero"`
 
 	// Endpoint corresponds to the JSON schema field "endpoint".
@@ -175,7 +175,7 @@
 	// Controls corresponds to the JSON schema field "controls".
 	Controls []string `json:"controls,omitempty,omitzero"`
 
-	// Document corresponds to the JSON schema field "document".
+	// The packed document.
 	Document string `json:"document,omitempty,omitzero"`
 
 	// Endpoints corresponds to the JSON schema field "endpoints".
@@ -205,7 +205,7 @@
 	// Departures corresponds to the JSON schema field "departures".
 	Departures []Departure `json:"departures,omitempty,omitzero"`
 
-	// Document corresponds to the JSON schema field "document".
+	// The packed document.
 	Document string `json:"document,omitempty,omitzero"`
 
 	// Endpoints corresponds to the JSON schema field "endpoints".
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -208,8 +208,7 @@
 	var donors []*Group
 	held := p.ratios()
 	before := held[needy.Name]
-	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
-		g := p.groups[name]
+	for _, g := range p.leastBusy() {
 		model, ok := p.msg.Engine.Model(g.Model)
 		if !ok || g.FabricDomain != domain || !p.mayGive(g, needy) || len(donors) == mostDonors {
 			continue
@@ -235,6 +234,16 @@
 	return donors
 }
 
+// leastBusy returns all groups, those with the least running work first, since
+// they are given up the soonest.
+func (p *Placer) leastBusy() []*Group {
+	list := slices.Collect(maps.Values(p.groups))
+	slices.SortFunc(list, func(a, b *Group) int {
+		return cmp.Or(cmp.Compare(p.byID[a.Head().Instance].Report.Active, p.byID[b.Head().Instance].Report.Active), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
 func (p *Placer) mayGive(g *Group, needy describer.Model) bool {
 	return g.State == Open && g.Model != needy.Name && p.msg.Now-g.Since >= settled && p.allSound(g)
 }
@@ -303,82 +312,3 @@
 	}
 	return best
 }
-
-func (p *Placer) recentLoads() int {
-	p.loads = slices.DeleteFunc(p.loads, func(at time.Duration) bool { return p.msg.Now-at > p.options.loadWindow })
-	return len(p.loads)
-}
-
-// stage lets hosts load the model that they may need next, beside all else:
-// a host in a group the neediest other model, a free one the neediest of all.
-// Before there is demand, loads are not bounded.
-func (p *Placer) stage() {
-	p.forgetLoads()
-	inGroup := map[string]*Group{}
-	for _, g := range p.groups {
-		for _, m := range g.Members {
-			inGroup[m.Instance] = g
-		}
-	}
-	ready := func(e tracker.Endpoint) bool {
-		return e.ReportAt != 0 && p.health(Member{e.View.Instance, e.View.Born}) == sound && !e.Report.Busy
-	}
-	for _, e := range p.msg.Endpoints {
-		if ready(e) && inGroup[e.View.Instance] == nil {
-			p.stageOne(e, p.msg.Engine.LoadsAtOnce)
-		}
-	}
-	for _, e := range p.msg.Endpoints {
-		if g := inGroup[e.View.Instance]; ready(e) && g != nil && g.State == Open {
-			p.stageOne(e, p.msg.Engine.LoadsAtOnce/groupedPart)
-		}
-	}
-}
-
-// groupedPart keeps most of the weight store for instances that serve nothing;
-// beyond the store's limit each load makes all others slower.
-const groupedPart = 3
-
-// forgetLoads drops the loads of hosts that have ended.
-func (p *Placer) forgetLoads() {
-	maps.DeleteFunc(p.staging, func(id string, s stage) bool {
-		e, ok := p.byID[id]
-		return !ok || p.isSilent(e) || slices.Contains(e.Report.Staged, s.model) || p.msg.Now-s.at > stagingLife
-	})
-}
-
-func (p *Placer) stageOne(e tracker.Endpoint, most int) {
-	id := e.View.Instance
-	if _, begun := p.staging[id]; begun {
-		return
-	}
-	busy := len(p.staging) >= max(most, 1) || float64(p.recentLoads()+1) > p.msg.Engine.LoadsPerSec
-	if len(p.msg.Demand) > 0 && busy {
-		return
-	}
-	for _, model := range p.byNeed() {
-		if slices.Contains(e.Report.Models, model.Name) {
-			continue
-		}
-		if slices.Contains(e.Report.Staged, model.Name) {
-			return
-		}
-		p.staging[id] = stage{p.msg.Now, model.Name}
-		p.loads = append(p.loads, p.msg.Now)
-		p.orders = append(p.orders, Order{Instance: id, Born: e.View.Born, Op: OpStage, Model: model.Name, Orders: e.Report.Orders})
-		return
-	}
-}
-
-// stage is one load of a host.
-type stage struct {
-	at    time.Duration
-	model string
-}
-
-// Unstage tells that an order to load was not answered, so that it is sent
-// again.
-func (p *Placer) Unstage(instance string) { delete(p.staging, instance) }
-
-// stagingLife is longer than any load; after it a load counts as lost.
-const stagingLife = 40 * time.Second
