--- a/internal/runner/direct.go
+++ b/internal/runner/direct.go
@@ -30,6 +30,7 @@
 // assembleDirect adds the roles that serve endpoints without side processes.
 func (p *process) assembleDirect(ctx context.Context) error {
 	s := p.settings
+	takeLibraryLogs(p.log)
 	debug.SetMemoryLimit(int64(heapShare * float64(s.Direct.MemoryMB*bytesPerMB)))
 	if s.Direct.MetricsOn != "" {
 		if err := p.listen(ctx, s.Direct.MetricsOn, metricsHandler()); err != nil {
