One relay to the leader; the entry's tests speak a dialect of their own

What the change wrote three times, the passing on of a call to the leader, is one function; two functions that nothing called are gone; the platform's names stand in platform/ alone. Behaviour as before: tests of control and entry green. Left: the loop around the replica stands in controller and director alike.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -18,7 +18,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -301,15 +300,6 @@
 	return known
 }
 
-// InnerAddress returns the inner address of the process at a public one.
-func InnerAddress(public, port string) string {
-	host, _, err := net.SplitHostPort(public)
-	if err != nil {
-		host = public
-	}
-	return net.JoinHostPort(host, port)
-}
-
 func now() time.Duration { return timekeeper.Now() }
 
 // table is the tracker of the leader.
--- a/internal/director/enrol.go
+++ b/internal/director/enrol.go
@@ -56,16 +56,8 @@
 func (d *Director) join(ctx context.Context, request messenger.JoinRequest) messenger.JoinAnswer {
 	leader, leading := d.leaderAddress()
 	if !leading {
-		var answer messenger.JoinAnswer
-		if leader == "" || request.Hops >= maxHops {
-			return answer
-		}
 		request.Hops++
-		call, cancel := context.WithTimeout(ctx, replicaTimeout)
-		defer cancel()
-		if err := d.client.Call(call, "http://"+leader+"/fleet/join", request, &answer); err != nil {
-			d.log.Debug("request to join not passed on", "leader", leader, "err", err)
-		}
+		answer, _ := relay[messenger.JoinAnswer](ctx, d, "/fleet/join", request.Hops, replicaTimeout, request)
 		return answer
 	}
 	d.mu.Lock()
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"papayaseam/internal/describer"
@@ -28,9 +27,10 @@
 // when there is something, else after the asked wait. The answer is confirmed
 // by a quorum after the request arrived, or says that it is not.
 func (d *Director) Sync(ctx context.Context, request messenger.FleetRequest) messenger.FleetResponse {
-	leader, leading := d.leaderAddress()
-	if !leading {
-		return d.relaySync(ctx, leader, request)
+	if _, leading := d.leaderAddress(); !leading {
+		request.Hops++
+		response, _ := relay[messenger.FleetResponse](ctx, d, "/fleet/sync", request.Hops, maxWait+commandTimeout, request)
+		return response
 	}
 	d.noteRequest(request)
 	d.wait(ctx, request)
@@ -57,18 +57,21 @@
 	return response
 }
 
-func (d *Director) relaySync(ctx context.Context, leader string, request messenger.FleetRequest) messenger.FleetResponse {
-	var response messenger.FleetResponse
-	if leader == "" || request.Hops >= maxHops {
-		return response
-	}
-	request.Hops++
-	ctx, cancel := context.WithTimeout(ctx, maxWait+commandTimeout)
+// relay passes a call on to the leader. It reports false, with a zero answer,
+// where no leader is known or answers, or the call was passed on too often.
+func relay[Out any](ctx context.Context, d *Director, path string, hops int, timeout time.Duration, in any) (Out, bool) {
+	var out, none Out
+	leader, own := d.leaderAddress()
+	if leader == "" || own || hops > maxHops {
+		return none, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if err := d.client.Call(ctx, "http://"+leader+"/fleet/sync", request, &response); err != nil {
-		return messenger.FleetResponse{}
+	if err := d.client.Call(ctx, "http://"+leader+path, in, &out); err != nil {
+		d.log.Debug("call not passed on", "path", path, "leader", leader, "err", err)
+		return none, false
 	}
-	return response
+	return out, true
 }
 
 func (d *Director) noteRequest(request messenger.FleetRequest) {
@@ -134,9 +137,6 @@
 	version, _ := d.state.Document()
 	request := messenger.FleetRequest{Version: version, View: d.fleet.view, Term: d.fleet.syncedTerm, WaitMs: int(maxWait / time.Millisecond)}
 	d.mu.Unlock()
-	if d.journal == nil {
-		request.Hops = 0
-	}
 	for _, target := range targets {
 		var response messenger.FleetResponse
 		call, cancel := context.WithTimeout(ctx, maxWait+commandTimeout)
@@ -192,18 +192,9 @@
 }
 
 func (d *Director) announce(ctx context.Context, registration messenger.Registration) messenger.RegistrationAnswer {
-	leader, leading := d.leaderAddress()
-	if !leading {
-		var answer messenger.RegistrationAnswer
-		if leader == "" || registration.Hops >= maxHops {
-			return answer
-		}
+	if _, leading := d.leaderAddress(); !leading {
 		registration.Hops++
-		call, cancel := context.WithTimeout(ctx, commandTimeout)
-		defer cancel()
-		if err := d.client.Call(call, "http://"+leader+"/fleet/announce", registration, &answer); err != nil {
-			return messenger.RegistrationAnswer{}
-		}
+		answer, _ := relay[messenger.RegistrationAnswer](ctx, d, "/fleet/announce", registration.Hops, commandTimeout, registration)
 		return answer
 	}
 	if err := d.register(ctx, registration); err != nil {
@@ -309,18 +300,9 @@
 // document commits a declared configuration, or reads the newest one where the
 // request holds none.
 func (d *Director) document(ctx context.Context, request messenger.DocumentRequest) messenger.DocumentAnswer {
-	leader, leading := d.leaderAddress()
-	if !leading {
-		var answer messenger.DocumentAnswer
-		if leader == "" || request.Hops >= maxHops {
-			return answer
-		}
+	if _, leading := d.leaderAddress(); !leading {
 		request.Hops++
-		call, cancel := context.WithTimeout(ctx, commandTimeout)
-		defer cancel()
-		if err := d.client.Call(call, "http://"+leader+"/fleet/document", request, &answer); err != nil {
-			return messenger.DocumentAnswer{}
-		}
+		answer, _ := relay[messenger.DocumentAnswer](ctx, d, "/fleet/document", request.Hops, commandTimeout, request)
 		return answer
 	}
 	if request.Document == "" {
@@ -340,6 +322,3 @@
 	version, document := d.state.Document()
 	return messenger.DocumentAnswer{Known: true, Version: version, Document: document}
 }
-
-// Knows reports whether the process at an address serves control.
-func (d *Director) Knows(address string) bool { return slices.Contains(d.contacts(), address) }
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -13,23 +13,68 @@
 	"testing"
 	"time"
 
+	"papayaseam/internal/describer"
 	"papayaseam/internal/exposer"
 	"papayaseam/internal/gatekeeper"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/packer"
-	"papayaseam/platform"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
 
-const document = `{"version":3,"routes":[
-{"name":"orders","host":"a.example","path_prefix":"/orders/","kind":"unsafe","timeout_ms":2000,"service":"desk","max_attempts":2},
-{"name":"look","host":"a.example","path_prefix":"/look/","kind":"safe","timeout_ms":2000,"service":"desk","max_attempts":2},
-{"name":"verse","host":"a.example","path_prefix":"/verse/","kind":"streaming","timeout_ms":4000,"target_latency_ms":400,"service":"writers","max_attempts":2,"stream_resume":true},
-{"name":"once","host":"a.example","path_prefix":"/once/","kind":"streaming","timeout_ms":4000,"target_latency_ms":400,"service":"writers","max_attempts":2}],
-"services":[{"name":"desk"},{"name":"writers","engine":{"slots":8,"models":[{"name":"m","size":2,"share":1,"pace":1,"load_s":1,"warm_s":1}]}}],
-"tenants":[{"name":"press","api_keys":["k1"]}],"limits":{"max_body_bytes":1000}}`
+// configured is the configuration that control tells in these tests.
+func configured([]byte) (*describer.Configuration, error) {
+	to := func(service string) []describer.Split { return []describer.Split{{Service: service, Weight: 1}} }
+	model := describer.Model{Name: "m", Size: 2, Share: 1, Pace: 1, Load: time.Second, Warm: time.Second}
+	return &describer.Configuration{
+		Version: 3,
+		Routes: []describer.Route{
+			{Name: "orders", Host: "a.example", Prefix: "/orders/", Kind: describer.KindUnsafe, Timeout: 2 * time.Second, MaxAttempts: 2, Splits: to("desk")},
+			{Name: "look", Host: "a.example", Prefix: "/look/", Kind: describer.KindSafe, Timeout: 2 * time.Second, MaxAttempts: 2, Splits: to("desk")},
+			{Name: "verse", Host: "a.example", Prefix: "/verse/", Kind: describer.KindStreaming, Timeout: 4 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2, Resumable: true, Splits: to("writers")},
+			{Name: "once", Host: "a.example", Prefix: "/once/", Kind: describer.KindStreaming, Timeout: 4 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2, Splits: to("writers")},
+		},
+		Services:      []describer.Service{{Name: "desk"}, {Name: "writers", Engine: &describer.Engine{Slots: 8, Models: []describer.Model{model}}}},
+		Organisations: []describer.Organisation{{Name: "press", Keys: []string{"k1"}}},
+		Limits:        describer.Limits{BodyBytes: 1000},
+	}, nil
+}
+
+// dialect is a plain way to speak, for these tests alone.
+type dialect struct{}
+
+func (dialect) Read(r *http.Request) gatekeeper.Call {
+	left, _ := strconv.Atoi(r.Header.Get("Left-Ms"))
+	return gatekeeper.Call{
+		Attempt: r.Header.Get("Attempt"), Deadline: time.Duration(left) * time.Millisecond, Key: r.Header.Get("Key"),
+		Model: r.Header.Get("Model"), LastEvent: r.Header.Get("Last-Event"),
+	}
+}
+
+func (dialect) Prepare(in http.Header, d gatekeeper.Dispatch) http.Header {
+	out := in.Clone()
+	out.Del("Key")
+	out.Set("Instance", d.Instance)
+	out.Set("Organisation", d.Organisation)
+	out.Set("Left-Ms", strconv.Itoa(int(d.Left/time.Millisecond)))
+	out.Set("Last-Event", d.LastEvent)
+	return out
+}
+
+func (dialect) Answer(status int, h http.Header) gatekeeper.Answer {
+	return gatekeeper.Answer{Attempt: h.Get("Attempt"), NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+}
+
+func (dialect) Copy(out, in http.Header) {
+	for _, name := range []string{"Attempt", "Proof", "Content-Type"} {
+		out.Set(name, in.Get(name))
+	}
+}
+
+func (dialect) RetryAfter(h http.Header, after time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+}
 
 // system is one entry with a stand-in for control and for endpoints.
 type system struct {
@@ -58,8 +103,8 @@
 	t.Cleanup(control.Close)
 	address := strings.TrimPrefix(control.URL, "http://")
 	s.entry = gatekeeper.New(gatekeeper.Config{
-		Name: "entry", FailureDomain: "ne-a", Controls: []string{address}, Lease: lease, RetryRatio: 1, Decode: platform.DecodeConfiguration,
-	}, platform.Dialect{}, exposer.NewLogger(io.Discard, "entry"))
+		Name: "entry", FailureDomain: "ne-a", Controls: []string{address}, Lease: lease, RetryRatio: 1, Decode: configured,
+	}, dialect{}, exposer.NewLogger(io.Discard, "entry"))
 	s.front = httptest.NewServer(s.entry)
 	t.Cleanup(s.front.Close)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -81,8 +126,8 @@
 		e.seen = append(e.seen, r.Clone(context.Background()))
 		e.bodies = append(e.bodies, string(body))
 		e.mu.Unlock()
-		w.Header().Set("Papayaseam-Attempt-Id", r.Header.Get("Papayaseam-Attempt-Id"))
-		w.Header().Set("Papayaseam-Server-Seal", "seal-of-"+strconv.Itoa(len(s.endpoints)))
+		w.Header().Set("Attempt", r.Header.Get("Attempt"))
+		w.Header().Set("Proof", "seal-of-"+strconv.Itoa(len(s.endpoints)))
 		handle(w, r)
 	}))
 	s.t.Cleanup(e.server.Close)
@@ -101,7 +146,7 @@
 
 // start lets control tell the configuration and waits until the entry is ready.
 func (s *system) start() {
-	packed, err := packer.Pack([]byte(document))
+	packed, err := packer.Pack([]byte("3"))
 	assert.NilError(s.t, err)
 	s.mu.Lock()
 	s.response.Confirmed, s.response.Version, s.response.Document, s.response.Term = true, 3, packed, 1
@@ -124,9 +169,9 @@
 	r, err := http.NewRequest(method, s.front.URL+path, strings.NewReader(body))
 	assert.NilError(s.t, err)
 	r.Host = "a.example"
-	r.Header.Set("Authorization", "Bearer k1")
-	r.Header.Set("Papayaseam-Attempt-Id", "a1")
-	r.Header.Set("Papayaseam-Model", "m")
+	r.Header.Set("Key", "k1")
+	r.Header.Set("Attempt", "a1")
+	r.Header.Set("Model", "m")
 	for i := 0; i < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
@@ -153,7 +198,7 @@
 }
 
 func refuse(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Papayaseam-Not-Executed", "1")
+	w.Header().Set("Not-Run", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -173,18 +218,18 @@
 	s := newSystem(t, time.Minute)
 	e := s.add("desk", answer(200, "printed"))
 	s.start()
-	response, body, err := s.call(http.MethodPost, "/orders/a%2Fb?x=1", "parchment", "Papayaseam-Tenant", "forged", "Papayaseam-Deadline-Ms", "1500")
+	response, body, err := s.call(http.MethodPost, "/orders/a%2Fb?x=1", "parchment", "Organisation", "forged", "Left-Ms", "1500")
 	assert.NilError(t, err)
 	assert.Equal(t, body, "printed")
-	assert.Equal(t, response.Header.Get("Papayaseam-Server-Seal"), "seal-of-1")
+	assert.Equal(t, response.Header.Get("Proof"), "seal-of-1")
 	seen := e.seen[0]
 	assert.Equal(t, seen.URL.RequestURI(), "/orders/a%2Fb?x=1")
 	assert.Equal(t, seen.Host, "a.example")
 	assert.Equal(t, e.bodies[0], "parchment")
-	assert.Equal(t, seen.Header.Get("Authorization"), "")
-	assert.Equal(t, seen.Header.Get("Papayaseam-Tenant"), "press")
-	assert.Equal(t, seen.Header.Get("Papayaseam-Expect-Instance"), "i-0")
-	left, err := strconv.Atoi(seen.Header.Get("Papayaseam-Deadline-Ms"))
+	assert.Equal(t, seen.Header.Get("Key"), "")
+	assert.Equal(t, seen.Header.Get("Organisation"), "press")
+	assert.Equal(t, seen.Header.Get("Instance"), "i-0")
+	left, err := strconv.Atoi(seen.Header.Get("Left-Ms"))
 	assert.NilError(t, err)
 	assert.Assert(t, left > 0 && left <= 1500, "left %d ms", left)
 }
@@ -201,7 +246,7 @@
 		{"/other/1", "k1", "x", http.StatusNotFound},
 		{"/orders/1", "k1", strings.Repeat("x", 1001), http.StatusRequestEntityTooLarge},
 	} {
-		response, _, err := s.call(http.MethodPost, c.path, c.body, "Authorization", "Bearer "+c.key)
+		response, _, err := s.call(http.MethodPost, c.path, c.body, "Key", c.key)
 		assert.NilError(t, err)
 		assert.Equal(t, response.StatusCode, c.status, c.path)
 	}
@@ -261,7 +306,7 @@
 func TestAnswerOfAnotherRequestIsNotPassedOn(t *testing.T) {
 	s := newSystem(t, time.Minute)
 	s.add("desk", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Papayaseam-Attempt-Id", "a0")
+		w.Header().Set("Attempt", "a0")
 		_, _ = io.WriteString(w, "somebody else's")
 	})
 	s.start()
@@ -321,7 +366,7 @@
 // breaking answers the first call up to an event and half of the next, then
 // hangs up; a call that resumes is answered to the end.
 func breaking(w http.ResponseWriter, r *http.Request) {
-	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event"))
 	if from > 0 {
 		events(w, from+1, 6)
 		return
@@ -340,7 +385,7 @@
 	response, body, err := s.call(http.MethodPost, "/verse/1", "prompt")
 	assert.NilError(t, err)
 	assert.Equal(t, body, wholeStream(6))
-	assert.Assert(t, strings.HasPrefix(response.Header.Get("Papayaseam-Server-Seal"), "seal-of-"))
+	assert.Assert(t, strings.HasPrefix(response.Header.Get("Proof"), "seal-of-"))
 	assert.Equal(t, s.endpoints[0].count()+s.endpoints[1].count(), 2)
 }
 
@@ -367,13 +412,13 @@
 	response, _, err := s.call(http.MethodPost, "/verse/1", "prompt")
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
-	assert.Equal(t, response.Header.Get("Papayaseam-Server-Seal"), "")
+	assert.Equal(t, response.Header.Get("Proof"), "")
 }
 
 func TestStreamOfALostGroupGoesOnElsewhere(t *testing.T) {
 	s := newSystem(t, time.Minute)
 	standing := func(w http.ResponseWriter, r *http.Request) {
-		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		from, _ := strconv.Atoi(r.Header.Get("Last-Event"))
 		if from > 0 {
 			events(w, from+1, 6)
 			return
@@ -420,8 +465,8 @@
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.front.URL+"/verse/1", strings.NewReader("p"))
 	assert.NilError(t, err)
 	r.Host = "a.example"
-	r.Header.Set("Authorization", "Bearer k1")
-	r.Header.Set("Papayaseam-Model", "m")
+	r.Header.Set("Key", "k1")
+	r.Header.Set("Model", "m")
 	response, err := http.DefaultClient.Do(r)
 	assert.NilError(t, err)
 	cancel()
