Metrics by outcome, reason and state; log lines never make their writer wait

Ruled out: a larger pipe, which only delays it. Change: a bounded queue before the logs of every process, dropped lines counted and told; counters, histograms and gauges on the metrics address.

--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -10,6 +11,8 @@
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/placer"
 	"papayaseam/internal/tracker"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
@@ -223,6 +226,7 @@
 	}
 	d.fleet.censusAt = now()
 	c := p.Census()
+	measure(service, c)
 	d.log.Info("census", "service", service, "open", c.Open, "changing", c.Changing, "free", c.Free, "cold", c.Cold, "silent", c.Silent, "leaving", c.Leaving, "demand", p.Needs())
 }
 
@@ -233,6 +237,7 @@
 	}
 	for _, g := range after {
 		if was, ok := old[g.Name]; !ok || was.State != g.State {
+			metrics.GetOrCreateCounter(fmt.Sprintf(`papayaseam_group_changes_total{state=%q}`, g.State)).Inc()
 			d.log.Info("group", "name", g.Name, "state", g.State, "head", g.Head().Instance, "members", len(g.Members), "domain", g.FabricDomain, "reason", g.Reason)
 		}
 		delete(old, g.Name)
@@ -254,6 +259,7 @@
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		err := d.endpoints.Order(call, e.View, order, token)
+		metrics.GetOrCreateCounter(fmt.Sprintf(`papayaseam_orders_total{op=%q}`, order.Op)).Inc()
 		d.log.Info("order", "endpoint", order.Instance, "op", order.Op, "group", order.Group, "model", order.Model, "token", token, "err", err)
 		if err != nil && order.Op == placer.OpStage {
 			d.unstage(e.View.Service, order.Instance)
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -205,6 +205,7 @@
 		return
 	}
 	d.config = config
+	setGauge("papayaseam_configuration_version", float64(version))
 	d.fleet.announce()
 	d.log.Info("configuration committed", "version", version, "routes", len(config.Routes))
 }
@@ -238,6 +239,11 @@
 		d.fleet.announce()
 	}
 	d.mu.Unlock()
+	leads := 0.0
+	if effect.Role == replicator.Leader {
+		leads = 1
+	}
+	setGauge("papayaseam_control_leads", leads)
 	d.log.Info("leader changed", "leader", effect.Leader, "role", effect.Role, "term", effect.Term)
 	if effect.Role == replicator.Leader {
 		return
--- a/internal/exposer/exposer.go
+++ b/internal/exposer/exposer.go
@@ -73,9 +73,12 @@
 	})
 }
 
+// logTime is how lines tell the time, to the millisecond.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger that writes one line of key=value pairs for each
 // event.
 func NewLogger(w io.Writer, process string) *log.Logger {
-	logger := log.NewWithOptions(w, log.Options{ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Formatter: log.LogfmtFormatter})
+	logger := log.NewWithOptions(w, log.Options{ReportTimestamp: true, TimeFormat: logTime, Formatter: log.LogfmtFormatter})
 	return logger.With("process", process)
 }
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -19,6 +19,7 @@
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/packer"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -346,6 +347,26 @@
 	assert.Equal(t, e.count(), 0)
 }
 
+func TestMetricsTellOutcomesAndReasons(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	s.add("desk", answer(200, "printed"))
+	s.start()
+	_, _, err := s.call(http.MethodPost, "/orders/1", "x")
+	assert.NilError(t, err)
+	_, _, err = s.call(http.MethodPost, "/verse/1", "x")
+	assert.NilError(t, err)
+	var out strings.Builder
+	metrics.WritePrometheus(&out, false)
+	for _, name := range []string{
+		`papayaseam_requests_total{kind="unsafe",outcome="answered"}`,
+		`papayaseam_requests_total{kind="streaming",outcome="refused"}`,
+		`papayaseam_refusals_total{reason="no endpoint serves it"}`,
+		`papayaseam_request_seconds_count{kind="unsafe"}`,
+	} {
+		assert.Assert(t, strings.Contains(out.String(), name), name)
+	}
+}
+
 // events writes events from one number to another.
 func events(w http.ResponseWriter, from, to int) {
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -32,7 +32,11 @@
 	"github.com/oklog/run"
 )
 
-const readyEvery = 100 * time.Millisecond
+const (
+	readyEvery = 100 * time.Millisecond
+	// flushWithin is what the last log lines may take at the end of a process.
+	flushWithin = 200 * time.Millisecond
+)
 
 // drainer is a role with work that a stop would cut.
 type drainer interface {
@@ -61,7 +65,10 @@
 
 // RunUntil is Run with the channel of stop signals given.
 func RunUntil(ctx context.Context, settings configurer.Settings, logs io.Writer, signals <-chan os.Signal) error {
-	p := &process{settings: settings, log: exposer.NewLogger(logs, settings.Name), inner: http.NewServeMux()}
+	queue := exposer.NewQueue(logs)
+	defer queue.Flush(flushWithin)
+	p := &process{settings: settings, log: exposer.NewLogger(queue, settings.Name), inner: http.NewServeMux()}
+	p.actor(ctx, queue.Run)
 	level, err := log.ParseLevel(settings.LogLevel)
 	if err == nil {
 		p.log.SetLevel(level)
