--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -244,9 +244,9 @@
 	want := chooser.Want{Patient: e.patient || e.writing, Service: e.service.Name, Avoid: e.avoid, Now: timekeeper.Now()}
 	if e.service.Engine != nil {
 		want.Model = e.call.Model
-		fresh := !e.patient && e.attempts == 0
+		first := e.attempts == 0
 		e.full = g.chooser.Full(want.Service, want.Model)
-		if fresh && !g.throttle.Admits(want.Model, e.full, rand.Float64()) {
+		if first && !g.throttle.Admits(want.Model, e.full, rand.Float64()) {
 			e.why = "begins are late, and a part is turned away"
 			return chooser.Target{}, false
 		}
