Choice of an attempt and the plan of one service in functions of their own

Read as a newcomer: pick told why it found nothing in five places, plan held the work of one service in its loop, and one time limit stood under two names.

--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"papayaseam/internal/describer"
 	"papayaseam/internal/enroller"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/placer"
@@ -173,39 +174,40 @@
 		return
 	}
 	f.tracker.Update(tracker.ForgetMsg{Now: now(), After: forgetAfter})
-	demand := d.demandNow()
 	moving, stalled := d.progress()
+	msg := placer.PlanMsg{Now: now(), Demand: d.demandNow(), Moving: moving, Stalled: stalled}
 	for _, service := range d.config.Services {
-		if service.Engine == nil {
-			continue
-		}
-		p := f.placers[service.Name]
-		var known []messenger.GroupView
-		if p == nil {
-			p = placer.New(d.term, placer.WithBreakAfter(d.cfg.BreakAfter))
-			f.placers[service.Name] = p
-			known = f.groups
-		}
-		msg := placer.PlanMsg{
-			Now: now(), Service: service.Name, Engine: *service.Engine, Demand: demand, Moving: moving, Stalled: stalled,
-			Known: slices.DeleteFunc(slices.Clone(known), func(g messenger.GroupView) bool { return g.Service != service.Name }),
-		}
-		for _, e := range f.tracker.Endpoints() {
-			if e.View.Service == service.Name {
-				msg.Endpoints = append(msg.Endpoints, e)
-			}
-		}
-		before := p.Groups()
-		orders := p.Update(msg)
-		d.logCensus(service.Name, p)
-		d.logGroups(before, p.Groups())
-		for _, order := range orders {
-			d.sendOrder(ctx, order)
+		if service.Engine != nil {
+			d.planService(ctx, service, msg)
 		}
 	}
 	d.publish()
 }
 
+// planService makes the plan of one service and sends its orders; mu is held.
+func (d *Director) planService(ctx context.Context, service describer.Service, msg placer.PlanMsg) {
+	msg.Service = service.Name
+	msg.Engine = *service.Engine
+	p := d.fleet.placers[service.Name]
+	if p == nil {
+		p = placer.New(d.term, placer.WithBreakAfter(d.cfg.BreakAfter))
+		d.fleet.placers[service.Name] = p
+		msg.Known = slices.DeleteFunc(slices.Clone(d.fleet.groups), func(g messenger.GroupView) bool { return g.Service != service.Name })
+	}
+	for _, e := range d.table().Endpoints() {
+		if e.View.Service == service.Name {
+			msg.Endpoints = append(msg.Endpoints, e)
+		}
+	}
+	before := p.Groups()
+	orders := p.Update(msg)
+	d.logCensus(service.Name, p)
+	d.logGroups(before, p.Groups())
+	for _, order := range orders {
+		d.sendOrder(ctx, order)
+	}
+}
+
 // settled reports whether this leader has read enough to plan; mu is held.
 func (d *Director) settled() bool {
 	f := &d.fleet
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -233,43 +233,55 @@
 	return Usual
 }
 
-// pick returns where the next attempt of a request goes.
+// pick returns where the next attempt of a request goes; where it finds nothing
+// it notes why.
 func (g *Gatekeeper) pick(e *exchange) (chooser.Target, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if e.attempts >= max(e.route.MaxAttempts, 1) {
-		e.why = "no attempt is left"
-		return chooser.Target{}, false
-	}
 	want := chooser.Want{Patient: e.patient || e.writing, Service: e.service.Name, Avoid: e.avoid, Now: timekeeper.Now()}
 	if e.service.Engine != nil {
 		want.Model = e.call.Model
-		first := e.attempts == 0
 		e.full = g.chooser.Full(want.Service, want.Model)
-		if first && !g.throttle.Admits(want.Model, e.full, rand.Float64()) {
-			e.why = "begins are late, and a part is turned away"
-			return chooser.Target{}, false
-		}
 	}
-	target, ok := g.chooser.Pick(want)
-	if !ok {
-		e.why = "no endpoint has a free place"
-		if !g.chooser.Has(want.Service, want.Model) {
-			e.why = "no endpoint serves it"
-		}
+	if e.why = g.holdsBack(e, want); e.why != "" {
+		return chooser.Target{}, false
 	}
-	if ok && e.attempts > 0 && !g.budget.Spend(e.service.Name) {
-		e.why = "the retry budget is used up"
+	target, ok := g.chooser.Pick(want)
+	if e.why = g.missing(e, want, ok); e.why != "" {
 		return chooser.Target{}, false
 	}
-	if ok {
-		if e.attempts == 0 {
-			e.load = g.chooser.Load(target.ID)
-		}
-		e.target = target
-		g.chooser.Update(chooser.BeganMsg{ID: target.ID})
+	if e.attempts == 0 {
+		e.load = g.chooser.Load(target.ID)
 	}
-	return target, ok
+	e.target = target
+	g.chooser.Update(chooser.BeganMsg{ID: target.ID})
+	return target, true
+}
+
+// holdsBack returns why a request gets no attempt whatever places are free, or
+// an empty string; mu is held.
+func (g *Gatekeeper) holdsBack(e *exchange, want chooser.Want) string {
+	switch {
+	case e.attempts >= max(e.route.MaxAttempts, 1):
+		return "no attempt is left"
+	case e.attempts == 0 && want.Model != "" && !g.throttle.Admits(want.Model, e.full, rand.Float64()):
+		return "begins are late, and a part is turned away"
+	}
+	return ""
+}
+
+// missing returns what an attempt lacks, or an empty string; a repeated attempt
+// takes its part of the retry budget. mu is held.
+func (g *Gatekeeper) missing(e *exchange, want chooser.Want, found bool) string {
+	switch {
+	case !found && !g.chooser.Has(want.Service, want.Model):
+		return "no endpoint serves it"
+	case !found:
+		return "no endpoint has a free place"
+	case e.attempts > 0 && !g.budget.Spend(e.service.Name):
+		return "the retry budget is used up"
+	}
+	return ""
 }
 
 // ended tells the chooser how an attempt ended.
--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -136,23 +136,14 @@
 	p.close(g)
 }
 
-const (
-	// drainFor is how long a group's running work may end after a member said
-	// that it leaves.
-	drainFor = 3 * time.Second
-	// giveFor is how long it may end when its members are needed elsewhere; the
-	// rest goes on at other groups.
-	giveFor = 3 * time.Second
-)
+// drainFor is how long the running work of a sound group may take to end before
+// its members are needed; the rest goes on at other groups.
+const drainFor = 3 * time.Second
 
 // close makes sure that the head can not serve any more, then gives its
 // members away.
 func (p *Placer) close(g *Group) {
-	patience := drainFor
-	if g.given {
-		patience = giveFor
-	}
-	if !g.Cutover && (p.lost(g) != "" || p.msg.Now-g.Since > patience) {
+	if !g.Cutover && (p.lost(g) != "" || p.msg.Now-g.Since > drainFor) {
 		g.Cutover = true
 		g.ordered = nil
 	}
