A full disk lets the replica rest, not the process end

Ruled out: a stalled disk (no exit). The storage library keeps only the text of one such error. Conclusion: other errors of the disk still end it.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -90,6 +90,15 @@
 	Decode     func(document []byte) (*describer.Configuration, error)
 }
 
+// store is the durable state of this replica.
+type store interface {
+	Identity() string
+	Found(identity string, snapshot messenger.Snapshot) error
+	Load() (replicator.State, error)
+	Save(effects []replicator.SaveEffect) error
+	Close() error
+}
+
 // result answers a proposal or a read.
 type result struct {
 	changed bool
@@ -113,7 +122,7 @@
 	log       *log.Logger
 	client    *transporter.Client
 	endpoints Endpoints
-	journal   *journaler.Journal
+	journal   store // journal is nil for a process without a disk.
 	machine   *replicator.Machine
 	inbox     chan any
 	peers     map[string]chan messenger.ReplicaMessage
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -53,6 +53,7 @@
 	address  string
 	folder   string
 	director *Director
+	wrap     func(store) store // wrap stands between the process and its disk.
 	stop     func()
 }
 
@@ -93,6 +94,9 @@
 		BreakAfter: time.Second, Decode: decodeNumber,
 	}, silentEndpoints{}, exposer.NewLogger(io.Discard, n.address))
 	assert.NilError(n.t, err)
+	if n.wrap != nil {
+		d.journal = n.wrap(d.journal)
+	}
 	mux := http.NewServeMux()
 	d.Register(mux)
 	server := &http.Server{Handler: mux}
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -9,6 +9,7 @@
 	"papayaseam/internal/cataloguer"
 	"papayaseam/internal/describer"
 	"papayaseam/internal/enroller"
+	"papayaseam/internal/journaler"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/packer"
 	"papayaseam/internal/replicator"
@@ -16,9 +17,42 @@
 	"github.com/cockroachdb/errors"
 )
 
-// loop owns the replica: it takes messages in batches, saves once per batch,
-// then executes the other effects.
+// restPause is how long a replica rests before it tries a full disk again.
+const restPause = 300 * time.Millisecond
+
+// loop runs the replica. While its disk is full it rests: a save that found no
+// room left the journal as it was, and the replica begins again from that.
 func (d *Director) loop(ctx context.Context) error {
+	for {
+		err := d.runReplica(ctx)
+		if !errors.Is(err, journaler.ErrFull) {
+			return err
+		}
+		d.log.Warn("disk full; the replica rests until it has room", "err", err)
+		d.rest()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(restPause):
+		}
+	}
+}
+
+// rest answers all who wait for the replica that is given up.
+func (d *Director) rest() {
+	d.noteLeader(replicator.LeaderEffect{Role: replicator.Follower, Term: d.machine.Term()})
+	unknown := result{err: ErrOutcomeUnknown}
+	for id := range maps.Clone(d.proposals) {
+		d.answer(id, unknown)
+	}
+	for id := range maps.Clone(d.reads) {
+		d.answer(id, unknown)
+	}
+}
+
+// runReplica owns the replica: it takes messages in batches, saves once per
+// batch, then executes the other effects.
+func (d *Director) runReplica(ctx context.Context) error {
 	state, err := d.journal.Load()
 	if err != nil {
 		return err
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -20,6 +20,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
+	"syscall"
 	"time"
 
 	"papayaseam/internal/messenger"
@@ -40,6 +42,10 @@
 // and start the process again, so that it rejoins as a new replica.
 var ErrDamaged = errors.New("the journal is damaged; remove the data folder and let the process rejoin as a new replica")
 
+// ErrFull means that the disk had no room for a save, which left the journal as
+// it was; free some room, and save again.
+var ErrFull = errors.New("the disk has no room for the journal; free some")
+
 var buckets = [][]byte{bucketState, bucketLog, bucketSeen}
 
 var (
@@ -199,7 +205,17 @@
 // update writes a change; the library panics on a damaged list of free pages.
 func (j *Journal) update(change func(tx *bbolt.Tx) error) (err error) {
 	defer recoverFault(&err)()
-	return errors.Wrap(j.db.Update(change), "write the journal; check that the disk has room and is sound")
+	err = j.db.Update(change)
+	if isFull(err) {
+		err = errors.Mark(err, ErrFull)
+	}
+	return errors.Wrap(err, "write the journal; check that the disk has room and is sound")
+}
+
+// isFull reports whether an error tells of a full disk; the library keeps the
+// text of some errors of the system, but not their kind.
+func isFull(err error) bool {
+	return err != nil && (errors.Is(err, syscall.ENOSPC) || strings.Contains(err.Error(), syscall.ENOSPC.Error()))
 }
 
 func save(tx *bbolt.Tx, effect replicator.SaveEffect) error {
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -1,8 +1,10 @@
 package journaler
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"papayaseam/internal/messenger"
@@ -104,3 +106,10 @@
 	assert.Assert(t, j.Seen("c2@b"))
 	assert.Assert(t, !j.Seen("c3@c"))
 }
+
+func TestFullDiskIsToldApart(t *testing.T) {
+	assert.Assert(t, isFull(errors.Wrap(syscall.ENOSPC, "write")))
+	assert.Assert(t, isFull(fmt.Errorf("file resize error: %s", &os.PathError{Op: "truncate", Path: "journal.db", Err: syscall.ENOSPC})))
+	assert.Assert(t, !isFull(syscall.EIO))
+	assert.Assert(t, !isFull(nil))
+}
