--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -123,6 +123,19 @@
 	}
 }
 
+// TestMembersThatHaveNotLeftAreNotGivenAway cuts a head that serves on off from
+// control, while no order to leave reaches its members.
+func TestMembersThatHaveNotLeftAreNotGivenAway(t *testing.T) {
+	w := busy()
+	head := w.headOf("large")
+	group := head.report.Group
+	head.cut = true
+	w.delay = func() time.Duration { return time.Hour }
+	w.run(15 * time.Second)
+	stands := slices.ContainsFunc(w.placer.Groups(), func(g Group) bool { return g.Name == group })
+	assert.Assert(t, stands, "the members of %s were given away by the clock", group)
+}
+
 func TestNewServersAreLoadedWithinTheStoresLimit(t *testing.T) {
 	w := busy()
 	before := w.loads
