One reading of an address in an identity; two things that nothing read are gone

Found in the last read of the change: the enroller had written again what the controller already had (the address within a replica's identity), a method of the chooser was called by nobody, and the proof's presence was noted and never read. Behaviour as before; the controller's test keeps its assertion.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -246,12 +246,6 @@
 	return k
 }
 
-// Serves reports whether a group still serves under its epoch.
-func (c *Chooser) Serves(t Target) bool {
-	k := c.candidates[t.ID]
-	return k != nil && k.target == t
-}
-
 // Load returns the estimated running and waiting requests of an endpoint.
 func (c *Chooser) Load(id string) int {
 	k := c.candidates[id]
--- a/internal/commander/report.go
+++ b/internal/commander/report.go
@@ -4,7 +4,7 @@
 	"context"
 	"io"
 
-	"papayaseam/internal/controller"
+	"papayaseam/internal/enroller"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/reporter"
 	"papayaseam/internal/transporter"
@@ -53,7 +53,7 @@
 		}
 	}
 	for _, voter := range status.Voters {
-		addresses[voter] = controller.AddressOf(voter)
+		addresses[voter] = enroller.AddressOf(voter)
 	}
 	return addresses
 }
--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"papayaseam/internal/enroller"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/registrar"
 	"papayaseam/internal/replicator"
@@ -88,7 +89,7 @@
 	var answer messenger.CommandAnswer
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	if err := c.client.Call(ctx, "http://"+AddressOf(leader)+"/inner/command", command, &answer); err != nil {
+	if err := c.client.Call(ctx, "http://"+enroller.AddressOf(leader)+"/inner/command", command, &answer); err != nil {
 		return failure(ErrOutcomeUnknown)
 	}
 	return answer
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"papayaseam/internal/enroller"
 	"papayaseam/internal/exposer"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/registrar"
@@ -155,7 +156,7 @@
 }
 
 func TestIdentitiesNameProcessAndAddress(t *testing.T) {
-	assert.Equal(t, AddressOf("control-1/3fa9@10.0.0.1:7"), "10.0.0.1:7")
+	assert.Equal(t, enroller.AddressOf("control-1/3fa9@10.0.0.1:7"), "10.0.0.1:7")
 	assert.Equal(t, nameOf("control-1/3fa9@10.0.0.1:7"), "control-1")
 	assert.Equal(t, nameOf("control-1@10.0.0.1:7"), "control-1")
 }
--- a/internal/controller/operate.go
+++ b/internal/controller/operate.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"papayaseam/internal/enroller"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/registrar"
 	"papayaseam/internal/transporter"
@@ -86,7 +87,7 @@
 		http.Error(w, ErrNoLeader.Error(), http.StatusServiceUnavailable)
 		return true
 	}
-	http.Redirect(w, r, "http://"+AddressOf(leader)+r.URL.RequestURI(), http.StatusTemporaryRedirect)
+	http.Redirect(w, r, "http://"+enroller.AddressOf(leader)+r.URL.RequestURI(), http.StatusTemporaryRedirect)
 	return true
 }
 
--- a/internal/controller/peer.go
+++ b/internal/controller/peer.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"papayaseam/internal/enroller"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/replicator"
 
@@ -20,12 +21,6 @@
 	identityBytes = 4
 )
 
-// AddressOf returns the address within a replica's identity.
-func AddressOf(replica string) string {
-	_, address, _ := strings.Cut(replica, "@")
-	return address
-}
-
 func nameOf(replica string) string {
 	identity, _, _ := strings.Cut(replica, "@")
 	name, _, _ := strings.Cut(identity, "/")
@@ -49,7 +44,7 @@
 
 // sendTo sends the queued messages of one peer in batches.
 func (c *Controller) sendTo(ctx context.Context, replica string, queue <-chan messenger.ReplicaMessage) {
-	url := "http://" + AddressOf(replica) + "/inner/replicate"
+	url := "http://" + enroller.AddressOf(replica) + "/inner/replicate"
 	for {
 		select {
 		case <-ctx.Done():
@@ -218,7 +213,7 @@
 	leader, leading := c.leadership()
 	if !leading {
 		var answer messenger.MembershipAnswer
-		if leader == "" || c.client.Call(ctx, "http://"+AddressOf(leader)+"/inner/membership", request, &answer) != nil {
+		if leader == "" || c.client.Call(ctx, "http://"+enroller.AddressOf(leader)+"/inner/membership", request, &answer) != nil {
 			return messenger.MembershipAnswer{Message: ErrNoLeader.Error()}
 		}
 		return answer
--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"papayaseam/internal/enroller"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/transporter"
 )
@@ -91,7 +92,7 @@
 	defer cancel()
 	var response messenger.SyncResponse
 	report := messenger.PresenceReport{From: c.cfg.Name, Statuses: statuses}
-	if err := c.client.Call(call, "http://"+AddressOf(leader)+"/inner/presence", report, &response); err != nil {
+	if err := c.client.Call(call, "http://"+enroller.AddressOf(leader)+"/inner/presence", report, &response); err != nil {
 		return
 	}
 	c.mu.Lock()
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -77,7 +77,6 @@
 type Answer struct {
 	Attempt string // Attempt is the echoed attempt id; empty where none came.
 	NotRun  bool   // NotRun tells that the request did not and will not run.
-	Sealed  bool   // Sealed tells that the answer carries the endpoint's proof.
 	Loaded  bool
 	Running int
 	Waiting int
