Changes that endpoints announce are taken at once, ahead of lagging reports

Cause: control read the state of engines by asking; answers are some 200 ms old, and each step of a repair (left, ready, open) waited for one. Endpoints announce each change within milliseconds, but an announcement was dropped for a second after any report.

Ruled out: taking every announcement (one that was under way from before a join could show that the head had left, and give its members away). An announcement is taken where it is certain to be the later word: after one that told what the table shows, a newer epoch, or a later state of the same membership. Orders that were answered 202 are counted ahead of reports, so that the expected number of orders holds without waiting. A change brings the next plan forward.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -70,8 +70,9 @@
 type Endpoints interface {
 	// Report returns an endpoint's state and the start of its boot.
 	Report(ctx context.Context, endpoint messenger.EndpointView) (messenger.EndpointReport, int, error)
-	// Order sends one order under a fencing token.
-	Order(ctx context.Context, endpoint messenger.EndpointView, order placer.Order, token int) error
+	// Order sends one order under a fencing token; begun tells that the endpoint
+	// has begun something, which counts among its orders.
+	Order(ctx context.Context, endpoint messenger.EndpointView, order placer.Order, token int) (begun bool, err error)
 }
 
 // ErrEnded marks errors of calls that show that the endpoint's boot has ended.
@@ -127,6 +128,7 @@
 	inbox     chan any
 	peers     map[string]chan messenger.ReplicaMessage
 	ended     chan string
+	wake      chan struct{} // wake brings the next plan forward.
 	logBytes  int
 
 	nextID    uint64
@@ -155,7 +157,7 @@
 func New(cfg Config, endpoints Endpoints, logger *log.Logger) (*Director, error) {
 	d := &Director{
 		cfg: cfg, log: logger, client: transporter.NewClient(), endpoints: endpoints,
-		inbox: make(chan any, inboxSize), peers: map[string]chan messenger.ReplicaMessage{}, ended: make(chan string, endsQueue),
+		inbox: make(chan any, inboxSize), peers: map[string]chan messenger.ReplicaMessage{}, ended: make(chan string, endsQueue), wake: make(chan struct{}, 1),
 		proposals: map[uint64]chan result{}, reads: map[uint64][]chan result{}, waiters: map[int]waiter{},
 		seeds: cfg.Seeds, heard: map[string]time.Duration{}, homes: map[string]string{}, state: cataloguer.New(), fleet: newFleet(),
 	}
@@ -208,7 +210,7 @@
 		<-ctx.Done()
 	} else {
 		defer func() { _ = d.journal.Close() }()
-		d.begin("plan", func() { repeat(ctx, planEvery, d.plan) })
+		d.begin("plan", func() { repeatOrWoken(ctx, planEvery, d.wake, d.plan) })
 		d.begin("poll", func() { repeat(ctx, pollEvery, d.poll) })
 		d.begin("enrol", func() { repeat(ctx, enrolEvery, d.enrol) })
 		err = d.loop(ctx)
@@ -274,6 +276,30 @@
 	}
 }
 
+// repeatOrWoken is repeat, but a word on the channel brings the next step
+// forward.
+func repeatOrWoken(ctx context.Context, every time.Duration, wake <-chan struct{}, step func(context.Context)) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-wake:
+		}
+		step(ctx)
+	}
+}
+
+// wakePlan brings the next plan forward.
+func (d *Director) wakePlan() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Ready reports whether this process knows a leader.
 func (d *Director) Ready() bool {
 	d.mu.Lock()
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -260,7 +260,10 @@
 	d.beginLocked("order", func() {
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		err := d.endpoints.Order(call, e.View, order, token)
+		begun, err := d.endpoints.Order(call, e.View, order, token)
+		if begun {
+			d.noteBegun(e.View)
+		}
 		metrics.GetOrCreateCounter(fmt.Sprintf(`papayaseam_orders_total{op=%q}`, order.Op)).Inc()
 		d.log.Info("order", "endpoint", order.Instance, "op", order.Op, "group", order.Group, "model", order.Model, "token", token, "err", err)
 		if err != nil && order.Op == placer.OpStage {
@@ -270,6 +273,12 @@
 	})
 }
 
+func (d *Director) noteBegun(view messenger.EndpointView) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table().Update(tracker.BegunMsg{Now: now(), ID: view.Instance, Born: view.Born})
+}
+
 func (d *Director) unstage(service, instance string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/director/poll.go
+++ b/internal/director/poll.go
@@ -100,7 +100,9 @@
 		msg = tracker.FailedMsg{Began: began, ID: view.Instance, Born: view.Born, Refused: errors.Is(err, ErrEnded)}
 	}
 	before, _ := d.table().Endpoint(view.Instance)
-	d.table().Update(msg)
+	if d.table().Update(msg) {
+		d.wakePlan()
+	}
 	after, _ := d.table().Endpoint(view.Instance)
 	if (before.Failing == 0) != (after.Failing == 0) || before.Refused != after.Refused {
 		d.log.Info("endpoint", "id", view.Instance, "answers", after.Failing == 0, "ended", after.Refused, "err", err)
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -242,6 +242,7 @@
 	}
 	if changed && len(d.fleet.placers) > 0 {
 		d.publish()
+		d.wakePlan()
 	}
 	d.remember(ctx, view)
 	return nil
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -28,6 +28,22 @@
 	ReportAt time.Duration // ReportAt is when its state was last read.
 	Failing  time.Duration // Failing is when the first of its unanswered calls began; 0 where the last was answered.
 	Refused  bool          // Refused tells that no process listens at its address any more.
+
+	told      membership    // told is what its newest announcement said.
+	newest    int           // newest is the highest epoch that it was seen in.
+	toldAt    time.Duration // toldAt is when an announcement last changed its membership.
+	orderedAt time.Duration // orderedAt is when it last began an order.
+}
+
+// membership is a part in a group and how far it has come.
+type membership struct {
+	group string
+	epoch int
+	state string
+}
+
+func membershipOf(r messenger.EndpointReport) membership {
+	return membership{r.Group, r.Epoch, r.State}
 }
 
 // Msg is an input of the table.
@@ -54,6 +70,13 @@
 	Report messenger.EndpointReport
 }
 
+// BegunMsg tells that an endpoint has begun an order.
+type BegunMsg struct {
+	Now  time.Duration
+	ID   string
+	Born int
+}
+
 // FailedMsg tells that a call to an endpoint was not answered.
 type FailedMsg struct {
 	Began   time.Duration
@@ -72,6 +95,7 @@
 func (LeaveMsg) trackerMsg()    {}
 func (ReportMsg) trackerMsg()   {}
 func (FailedMsg) trackerMsg()   {}
+func (BegunMsg) trackerMsg()    {}
 func (ForgetMsg) trackerMsg()   {}
 
 // Tracker is the table. It is not safe for concurrent use.
@@ -115,6 +139,8 @@
 		return t.report(msg)
 	case FailedMsg:
 		return t.failed(msg)
+	case BegunMsg:
+		t.begun(msg)
 	case ForgetMsg:
 		return t.forget(msg)
 	}
@@ -145,15 +171,53 @@
 	old.Failing = 0
 	old.Refused = false
 	changed := before != view
-	if msg.Report != nil && (old.ReportAt == 0 || msg.Now-old.ReportAt > reportLife) {
-		changed = t.take(old, withLoad(*msg.Report, old.Report), msg.Now) || changed
+	if msg.Report != nil {
+		changed = t.tell(old, *msg.Report, msg.Now) || changed
 	}
 	return changed
 }
 
 // reportLife is how long a report that was asked for goes before what an
-// announcement tells, which may come late.
-const reportLife = time.Second
+// announcement tells, where the order of the two is not known: longer than
+// announcements are under way.
+const reportLife = 5 * time.Second
+
+// reportLag is above the age that reports may have when they are sent, and the
+// call.
+const reportLag = 400 * time.Millisecond
+
+// tell takes the state in an announcement, which is fresher than a report's
+// where it comes in time, and reports whether the membership changed.
+func (t *Tracker) tell(e *Endpoint, report messenger.EndpointReport, now time.Duration) bool {
+	follows := e.follows(membershipOf(report))
+	e.told = membershipOf(report)
+	if !follows && e.ReportAt != 0 && now-e.ReportAt <= reportLife {
+		return false
+	}
+	changed := t.take(e, withLoad(report, e.Report), now)
+	if changed {
+		e.toldAt = now
+	}
+	return changed
+}
+
+// follows reports whether an announced membership is certain to be later than
+// the one in the table: announcements are ordered among themselves, epochs
+// rise, and within an epoch a membership goes through its states in order.
+func (e *Endpoint) follows(next membership) bool {
+	current := membershipOf(e.Report)
+	switch {
+	case current == e.told:
+		return true
+	case next.epoch != current.epoch || next.group != current.group:
+		return next.epoch > e.newest
+	}
+	return progress[next.state] >= progress[current.state]
+}
+
+// progress orders the states of a membership; the way back from open leads
+// through closing.
+var progress = map[string]int{"joining": 1, "ready": 2, "open": 3, "closing": 4, "broken": 5}
 
 // withLoad completes the state in an announcement by what only reports tell.
 func withLoad(report, last messenger.EndpointReport) messenger.EndpointReport {
@@ -181,9 +245,20 @@
 	changed := e.Report.Group != report.Group || e.Report.Epoch != report.Epoch || e.Report.State != report.State
 	e.Report = report
 	e.ReportAt = now
+	e.newest = max(e.newest, report.Epoch)
 	return changed
 }
 
+// begun counts an order that an endpoint has begun, ahead of its reports.
+func (t *Tracker) begun(msg BegunMsg) {
+	e, ok := t.endpoints[msg.ID]
+	if !ok || e.View.Born != msg.Born {
+		return
+	}
+	e.Report.Orders++
+	e.orderedAt = msg.Now
+}
+
 // leave marks a boot; it is kept while it still answers.
 func (t *Tracker) leave(msg LeaveMsg) bool {
 	e, ok := t.endpoints[msg.ID]
@@ -210,7 +285,22 @@
 	e.Seen = max(e.Seen, msg.Now)
 	e.Failing = 0
 	e.Refused = false
-	return t.take(e, msg.Report, msg.Now)
+	report := msg.Report
+	if e.orderedAt != 0 && msg.Now-e.orderedAt < reportLag {
+		report.Orders = max(report.Orders, e.Report.Orders)
+	}
+	if e.toldAt != 0 && msg.Now-e.toldAt < reportLag && report.Epoch <= e.newest {
+		report = withMembership(report, e.Report)
+	}
+	return t.take(e, report, msg.Now)
+}
+
+// withMembership completes the load that a report tells by the membership that
+// an announcement told after it.
+func withMembership(report, told messenger.EndpointReport) messenger.EndpointReport {
+	report.Group, report.Epoch, report.Rank, report.State = told.Group, told.Epoch, told.Rank, told.State
+	report.Models, report.Staged = told.Models, told.Staged
+	return report
 }
 
 func (t *Tracker) failed(msg FailedMsg) bool {
