Groups that stand are served again right after all control was lost

The new leader led at 35.53 s, entries had the configuration at 35.55 s, and said 'no endpoint serves it' until 37.47 s (688 refusals), though the groups stood. Three reasons: the leader takes its endpoints from the log when it is elected, but applies that log only afterwards; it told no group before it had settled (up to 2 s); and entries that had not been restarted dropped their groups, and cut their streams, on its first empty view.

Ruled out: a shorter wait before it settles (it guards against plans on half a view). Now an endpoint that comes out of the log is asked at once; before it has settled a leader only observes: whole open groups are told, nothing is ordered; such a view is marked partial, and entries add it to what they know. Found on the way: where no group of a service was known, its endpoints counted as plain ones and were sent requests.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -288,7 +288,7 @@
 	weights := make([]float64, len(c.order))
 	for i, id := range c.order {
 		k := c.candidates[id]
-		if k.service != want.Service || (k.grouped && k.model != want.Model) || slices.Contains(want.Avoid, id) || k.until > want.Now {
+		if k.service != want.Service || k.model != want.Model || slices.Contains(want.Avoid, id) || k.until > want.Now {
 			continue
 		}
 		weights[i] = c.weight(k, want.Patient)
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -41,6 +41,15 @@
 	assert.Assert(t, !ok)
 }
 
+func TestEndpointsWithoutAGroupTakeNoRequestForAModel(t *testing.T) {
+	c := New("d0")
+	msg := fleetOf(2, idle)
+	msg.Groups = nil
+	c.Update(msg)
+	_, ok := c.Pick(want)
+	assert.Assert(t, !ok)
+}
+
 func TestLeavingPlainEndpointsAreNotPicked(t *testing.T) {
 	c := New("d0")
 	c.Update(FleetMsg{Endpoints: []messenger.EndpointView{
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -288,6 +289,37 @@
 	assert.Equal(t, len(c.voters()), 3)
 }
 
+func TestLeaderAfterAKillOfAllKnowsTheEndpoints(t *testing.T) {
+	c := newCore(t)
+	first := c.awaitLeader()
+	for i, id := range []string{"e1", "e2"} {
+		view := messenger.EndpointView{Instance: id, Born: 5, Address: "127.0.0.1:" + strconv.Itoa(i+1), Service: "s", Sequence: 1}
+		_, err := first.director.Announce(context.Background(), messenger.Registration{Endpoint: &view})
+		assert.NilError(t, err)
+	}
+	c.await("not remembered", func() bool {
+		first.director.mu.Lock()
+		defer first.director.mu.Unlock()
+		return len(first.director.state.Endpoints()) == 2
+	})
+	_, err := first.director.Announce(context.Background(), messenger.Registration{Endpoint: &messenger.EndpointView{Instance: "e2", Born: 5}, Gone: true})
+	assert.NilError(t, err)
+	for _, n := range c.nodes {
+		n.end()
+	}
+	for _, n := range c.nodes {
+		n.restart(c.seeds, false)
+	}
+	leader := c.awaitLeader().director
+	leader.mu.Lock()
+	defer leader.mu.Unlock()
+	known, ok := leader.table().Endpoint("e1")
+	assert.Assert(t, ok && !known.View.Leaving)
+	gone, ok := leader.table().Endpoint("e2")
+	assert.Assert(t, !ok || gone.View.Leaving)
+	assert.Assert(t, leader.fleet.partial, "its view is not whole yet")
+}
+
 func TestLeavingEndpointIsKnownToTheNextLeader(t *testing.T) {
 	c := newCore(t)
 	first := c.awaitLeader()
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -73,6 +73,8 @@
 	nextProposal uint64
 	known        int // known is the number of endpoints at the last plan.
 	syncedTerm   int
+	inherited    bool // inherited tells that this leader began with an earlier one's groups.
+	partial      bool // partial tells that groups which are not known here may stand.
 	censusAt     time.Duration
 	remembered   map[string]int // remembered maps identities to the boots whose addresses are in the log.
 }
@@ -154,28 +156,35 @@
 	f.demand = demandMeter{work: map[string]float64{}, since: now(), last: f.demand.last}
 	f.polling = map[string]time.Duration{}
 	f.remembered = map[string]int{}
+	f.inherited = len(f.groups) > 0
+	f.partial = !f.inherited
 	known := f.endpoints
 	if len(known) == 0 {
 		known = d.state.Endpoints()
 	}
 	for _, view := range known {
-		view.Sequence = -1
-		f.tracker.Update(tracker.AnnounceMsg{Now: now(), Endpoint: view})
+		d.noteRemembered(view)
 	}
 	f.announce()
 }
 
-// plan runs the placers at a leader that has settled.
+// plan runs the placers at a leader that has settled. Before that, one that
+// began without groups only looks for those that stand.
 func (d *Director) plan(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f := &d.fleet
-	if !d.leading || d.config == nil || !d.settled() {
+	if !d.leading || d.config == nil {
 		return
 	}
+	settled := d.settled()
+	if !settled && f.inherited {
+		return
+	}
+	f.partial = !settled
 	f.tracker.Update(tracker.ForgetMsg{Now: now(), After: forgetAfter})
 	moving, stalled := d.progress()
-	msg := placer.PlanMsg{Now: now(), Demand: d.demandNow(), Moving: moving, Stalled: stalled}
+	msg := placer.PlanMsg{Now: now(), Demand: d.demandNow(), Moving: moving, Stalled: stalled, Observe: !settled}
 	for _, service := range d.config.Services {
 		if service.Engine != nil {
 			d.planService(ctx, service, msg)
@@ -218,7 +227,7 @@
 	if now()-d.leadSince < settleAfter {
 		return false
 	}
-	return len(f.groups) > 0 || now()-f.lastNew > settleFirst
+	return f.inherited || now()-f.lastNew > settleFirst
 }
 
 // logCensus writes once a second what the endpoints of a service do; mu is held.
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -13,6 +13,7 @@
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/packer"
 	"papayaseam/internal/replicator"
+	"papayaseam/internal/tracker"
 
 	"github.com/cockroachdb/errors"
 )
@@ -224,9 +225,30 @@
 	if changed && command.Document != "" {
 		d.readDocument()
 	}
+	if d.leading {
+		d.noteCommitted(command)
+	}
 	return changed
 }
 
+// noteCommitted lets a leader that still applies an earlier one's log know its
+// endpoints; mu is held.
+func (d *Director) noteCommitted(command messenger.FleetCommand) {
+	if e := command.Endpoint; e != nil {
+		d.noteRemembered(*e)
+	}
+	if gone := command.Departure; gone != nil {
+		d.table().Update(tracker.LeaveMsg{ID: gone.Instance, Born: gone.Born})
+	}
+}
+
+// noteRemembered takes an endpoint from the log; what it says itself goes
+// before that. mu is held.
+func (d *Director) noteRemembered(view messenger.EndpointView) {
+	view.Sequence = -1
+	d.table().Update(tracker.AnnounceMsg{Now: now(), Endpoint: view})
+}
+
 // readDocument decodes the newest configuration; mu is held.
 func (d *Director) readDocument() {
 	version, document := d.state.Document()
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -46,7 +46,7 @@
 	version, document := d.state.Document()
 	response := messenger.FleetResponse{
 		Confirmed: true, Leader: d.cfg.Address, Controls: d.controlAddresses(), Entries: d.liveEntries(),
-		Version: version, Term: f.term, View: f.view, Groups: f.groups,
+		Version: version, Term: f.term, View: f.view, Groups: f.groups, Partial: f.partial,
 	}
 	if version > request.Version {
 		response.Document = document
@@ -161,6 +161,16 @@
 	}
 }
 
+// take replaces the view by a leader's.
+func (f *fleet) take(response messenger.FleetResponse) {
+	if response.Term != f.syncedTerm || response.View != f.view {
+		f.endpoints = response.Endpoints
+	}
+	f.syncedTerm = response.Term
+	f.view = response.View
+	f.groups = response.Groups
+}
+
 func (d *Director) takeView(response messenger.FleetResponse) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -168,13 +178,10 @@
 		return
 	}
 	f := &d.fleet
-	if response.Term != f.syncedTerm || response.View != f.view {
-		f.endpoints = response.Endpoints
-	}
-	f.syncedTerm = response.Term
-	f.view = response.View
-	f.groups = response.Groups
 	f.controls = response.Controls
+	if !response.Partial || len(f.groups) == 0 {
+		f.take(response)
+	}
 	if d.journal == nil {
 		d.leader = "@" + response.Leader
 	}
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -84,9 +84,17 @@
 	front     *httptest.Server
 	mu        sync.Mutex
 	response  messenger.FleetResponse
+	questions int // questions is how often the entry has asked control.
 	endpoints []*endpoint
 }
 
+// asked returns how often the entry has asked control.
+func (s *system) asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.questions
+}
+
 type endpoint struct {
 	server *httptest.Server
 	mu     sync.Mutex
@@ -99,6 +107,7 @@
 	control := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		s.questions++
 		_ = json.NewEncoder(w).Encode(s.response)
 	}))
 	t.Cleanup(control.Close)
@@ -473,6 +482,56 @@
 	assert.Equal(t, <-done, wholeStream(6))
 }
 
+func TestPartialViewEndsNoStreamAndHidesNoGroup(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	goOn := make(chan struct{})
+	e := s.add("writers", func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 3)
+		<-goOn
+		events(w, 4, 6)
+	})
+	s.start()
+	done := make(chan string, 1)
+	go func() {
+		_, body, _ := s.call(http.MethodPost, "/verse/1", "prompt")
+		done <- body
+	}()
+	until(t, func() bool { return e.count() > 0 })
+	s.mu.Lock()
+	endpoints, groups := s.response.Endpoints, s.response.Groups
+	s.response.Endpoints, s.response.Groups = nil, nil
+	s.response.Partial = true
+	s.response.Term++
+	s.mu.Unlock()
+	seen := s.asked()
+	until(t, func() bool { return s.asked() > seen+1 })
+	close(goOn)
+	assert.Equal(t, <-done, wholeStream(6))
+	response, _, err := s.call(http.MethodPost, "/verse/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	s.mu.Lock()
+	s.response.Endpoints, s.response.Groups = endpoints, groups[:0]
+	s.response.Partial = false
+	s.response.View++
+	s.mu.Unlock()
+	seen = s.asked()
+	until(t, func() bool { return s.asked() > seen+1 })
+	response, _, err = s.call(http.MethodPost, "/verse/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, "a whole view counts")
+}
+
+func until(t *testing.T, reached func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if reached() {
+			return poll.Success()
+		}
+		return poll.Continue("not yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
 func TestClientThatLeavesEndsTheWork(t *testing.T) {
 	s := newSystem(t, time.Minute)
 	ended := make(chan struct{})
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -129,7 +129,11 @@
 	if response.Term < g.term {
 		return
 	}
-	if response.Term != g.term || response.View != g.view {
+	if response.Partial {
+		response.Endpoints = unnamed(response.Endpoints, g.fleet.Endpoints, instanceOf)
+		response.Groups = unnamed(response.Groups, g.fleet.Groups, nameOf)
+	}
+	if response.Partial || response.Term != g.term || response.View != g.view {
 		g.fleet.Endpoints = response.Endpoints
 	}
 	g.term = response.Term
@@ -141,6 +145,25 @@
 	g.cutLost()
 }
 
+// unnamed adds to a list what only an earlier one names.
+func unnamed[T any](list, earlier []T, name func(T) string) []T {
+	named := map[string]bool{}
+	for _, item := range list {
+		named[name(item)] = true
+	}
+	list = slices.Clone(list)
+	for _, item := range earlier {
+		if !named[name(item)] {
+			list = append(list, item)
+		}
+	}
+	return list
+}
+
+func instanceOf(view messenger.EndpointView) string { return view.Instance }
+
+func nameOf(view messenger.GroupView) string { return view.Name }
+
 // cutLost ends the attempts at groups that have lost a member, so that their
 // streams go on elsewhere; mu is held.
 func (g *Gatekeeper) cutLost() {
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -190,6 +190,10 @@
 	// Leader corresponds to the JSON schema field "leader".
 	Leader string `json:"leader,omitempty,omitzero"`
 
+	// The leader has not heard all endpoints yet; groups that are not named may
+	// stand.
+	Partial bool `json:"partial,omitempty,omitzero"`
+
 	// Term corresponds to the JSON schema field "term".
 	Term int `json:"term,omitempty,omitzero"`
 
--- a/internal/placer/adopt.go
+++ b/internal/placer/adopt.go
@@ -57,6 +57,9 @@
 		g.Members = append(g.Members, Member{e.View.Instance, e.View.Born})
 	}
 	head, whole := ranks[0], ok && len(ranks) == declared.Size
+	if p.msg.Observe && (!whole || head.Report.State != MemberOpen) {
+		return
+	}
 	g.FailureDomain = head.View.FailureDomain
 	g.FabricDomain = head.Report.FabricDomain
 	switch {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -123,6 +123,7 @@
 	Moving    map[string]bool    // Moving names the heads whose answers clients receive right now.
 	Stalled   map[string]bool    // Stalled names the heads of whose several answers none moves.
 	Known     []messenger.GroupView
+	Observe   bool // Observe takes in whole groups and gives no orders.
 }
 
 // Placer holds the groups of one service. It is not safe for concurrent use.
@@ -167,6 +168,9 @@
 		p.byID[e.View.Instance] = e
 	}
 	p.adopt()
+	if msg.Observe {
+		return nil
+	}
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		p.advance(p.groups[name])
 	}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"papayaseam/internal/tracker"
+
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -171,6 +173,24 @@
 	assert.Equal(t, w.orders, orders, "a new leader orders nothing where all is well")
 }
 
+func TestObservingLeaderShowsWholeGroupsAndOrdersNothing(t *testing.T) {
+	w := busy()
+	large, small := w.open("large"), w.open("small")
+	w.crash(w.headOf("small").view.Instance)
+	w.elect()
+	msg := w.plan()
+	msg.Observe = true
+	gone := slices.IndexFunc(msg.Endpoints, func(e tracker.Endpoint) bool { return e.Failing != 0 })
+	msg.Endpoints = slices.Delete(msg.Endpoints, gone, gone+1)
+	assert.Equal(t, len(w.placer.Update(msg)), 0)
+	shown := map[string]int{}
+	for _, g := range w.placer.Groups() {
+		assert.Equal(t, g.State, Open)
+		shown[g.Model]++
+	}
+	assert.DeepEqual(t, shown, map[string]int{"large": large, "small": small - 1})
+}
+
 // TestGroupHistories drives random orders of crashes, restarts, cuts, late and
 // lost orders and changes of leader. No head ever serves with a member that was
 // never ready, and no member is taken from a group that serves.
