Clients that come back late get what timely ones leave

A refused client came back 1.5 s later, might fill five quarters of the places, and the next fresh one was refused for it: an overload that fed itself.

Late requests now fill two fifths of the places at most; begun streams keep five quarters.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -47,10 +47,20 @@
 	Service string
 	Model   string // Model is empty for a plain service.
 	Avoid   []string
-	Patient bool // Patient requests may wait beyond the objective.
+	Urgency Urgency
 	Now     time.Duration
 }
 
+// Urgency is what a request loses where it does not begin soon.
+type Urgency int
+
+// The urgencies.
+const (
+	Usual   Urgency = iota // Usual requests can still be in time.
+	Patient                // Patient requests are late already; usual ones go before them.
+	Begun                  // Begun requests have a part of their answer, and would lose it.
+)
+
 // Msg is an input of the chooser.
 type Msg interface{ chooserMsg() }
 
@@ -291,7 +301,7 @@
 		if k.service != want.Service || k.model != want.Model || slices.Contains(want.Avoid, id) || k.until > want.Now {
 			continue
 		}
-		weights[i] = c.weight(k, want.Patient)
+		weights[i] = c.weight(k, want.Urgency)
 		total += weights[i]
 	}
 	if total <= 0 {
@@ -312,13 +322,16 @@
 }
 
 // places is the number of requests that may be at an endpoint: a usual request
-// must begin within its objective, a patient one may wait.
-func (c *Chooser) places(k *candidate, patient bool) int {
+// must begin within its objective; a patient one gets what usual ones leave, so
+// that those who come late do not make the next ones late; a begun one may wait.
+func (c *Chooser) places(k *candidate, urgency Urgency) int {
 	switch {
 	case !k.grouped:
 		return 2 * k.slots
-	case patient:
+	case urgency == Begun:
 		return k.slots + k.slots/c.options.waitingPart
+	case urgency == Patient:
+		return int(float64(k.slots) * c.options.patientShare)
 	}
 	return k.slots - k.slots/c.options.sparePart
 }
@@ -334,10 +347,10 @@
 
 // weight is the square of an endpoint's free part, larger in the own failure
 // domain, since bytes between domains are dear.
-func (c *Chooser) weight(k *candidate, patient bool) float64 {
-	places := c.places(k, patient)
+func (c *Chooser) weight(k *candidate, urgency Urgency) float64 {
+	places := c.places(k, urgency)
 	free := float64(places-k.running()) / float64(places)
-	full := k.grouped && (k.own >= c.ownPlaces(k) || (!patient && k.queued > 0))
+	full := k.grouped && (k.own >= c.ownPlaces(k) || (urgency != Begun && k.queued > 0))
 	if free <= 0 || full {
 		return 0
 	}
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -72,9 +72,9 @@
 	c.Update(fleetOf(1, func(int) (int, int) { return 20, 3 }))
 	_, ok := c.Pick(want)
 	assert.Assert(t, !ok)
-	patient := want
-	patient.Patient = true
-	_, ok = c.Pick(patient)
+	begun := want
+	begun.Urgency = Begun
+	_, ok = c.Pick(begun)
 	assert.Assert(t, ok)
 }
 
--- a/internal/chooser/options.go
+++ b/internal/chooser/options.go
@@ -12,6 +12,9 @@
 	// defaultWaitingPart lets a quarter of the places wait again, which begin
 	// before a client gives up.
 	defaultWaitingPart = 4
+	// defaultPatientShare is the part of the places that late requests may fill:
+	// above it usual ones would begin late or be refused for them.
+	defaultPatientShare = 0.4
 	// defaultSparePart keeps an eighth of the places free of usual requests,
 	// since a full group begins none within its objective.
 	defaultSparePart = 8
@@ -27,20 +30,21 @@
 )
 
 type options struct {
-	random      *rand.Rand
-	ownDomain   float64
-	waitingPart int
-	sparePart   int
-	ownFactor   float64
-	reportLag   time.Duration
-	restFirst   time.Duration
-	restMost    time.Duration
+	random       *rand.Rand
+	ownDomain    float64
+	waitingPart  int
+	sparePart    int
+	patientShare float64
+	ownFactor    float64
+	reportLag    time.Duration
+	restFirst    time.Duration
+	restMost     time.Duration
 }
 
 func defaults() options {
 	return options{
 		random: rand.New(rand.NewPCG(1, 1)), ownDomain: defaultOwnDomain, waitingPart: defaultWaitingPart,
-		sparePart: defaultSparePart, reportLag: defaultReportLag, ownFactor: defaultOwnFactor, restFirst: defaultRestFirst, restMost: defaultRestMost,
+		sparePart: defaultSparePart, patientShare: defaultPatientShare, reportLag: defaultReportLag, ownFactor: defaultOwnFactor, restFirst: defaultRestFirst, restMost: defaultRestMost,
 	}
 }
 
@@ -60,3 +64,8 @@
 func WithRest(first, most time.Duration) Option {
 	return func(o *options) { o.restFirst, o.restMost = first, most }
 }
+
+// WithPatientShare sets the part of the places that late requests may fill.
+func WithPatientShare(share float64) Option {
+	return func(o *options) { o.patientShare = share }
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -60,19 +60,9 @@
 	Organisation string
 	Left         time.Duration
 	LastEvent    string
-	Urgency      Urgency
+	Urgency      chooser.Urgency
 }
 
-// Urgency is how soon an endpoint should begin a request.
-type Urgency int
-
-// The urgencies.
-const (
-	Usual   Urgency = iota
-	Patient         // Patient requests are late already; others go before them.
-	Begun           // Begun requests have a part of their answer; they go first.
-)
-
 // Answer is what an endpoint's answer says beside its status and body.
 type Answer struct {
 	Attempt string // Attempt is the echoed attempt id; empty where none came.
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -223,14 +223,14 @@
 }
 
 // urgency is how soon an endpoint should begin the request.
-func (e *exchange) urgency() Urgency {
+func (e *exchange) urgency() chooser.Urgency {
 	switch {
 	case e.writing:
-		return Begun
+		return chooser.Begun
 	case e.patient:
-		return Patient
+		return chooser.Patient
 	}
-	return Usual
+	return chooser.Usual
 }
 
 // pick returns where the next attempt of a request goes; where it finds nothing
@@ -238,7 +238,7 @@
 func (g *Gatekeeper) pick(e *exchange) (chooser.Target, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	want := chooser.Want{Patient: e.patient || e.writing, Service: e.service.Name, Avoid: e.avoid, Now: timekeeper.Now()}
+	want := chooser.Want{Urgency: e.urgency(), Service: e.service.Name, Avoid: e.avoid, Now: timekeeper.Now()}
 	if e.service.Engine != nil {
 		want.Model = e.call.Model
 		e.full = g.chooser.Full(want.Service, want.Model)
