An entry out of touch with control sends its clients elsewhere before its lease ends

Ruled out: a longer lease (a removed key must stop within the declared time). Now an entry that was not confirmed for half its lease is not ready, and closes connections after their answers, which it says in their head. The test of the lease took 'not ready' as its end; it now waits for the whole lease from the last confirmation and is as strict.

--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -159,7 +159,17 @@
 // confirmed of late, and does not stop.
 func (g *Gatekeeper) Ready() bool {
 	s := g.current.Load()
-	return s != nil && g.leaving.Load() == 0 && timekeeper.Now()-s.confirmed < g.cfg.Lease
+	return s != nil && g.leaving.Load() == 0 && g.inTouch(s)
+}
+
+// readyPart is the part of the lease after which an entry that hears nothing
+// from control is not ready: the balancer needs the rest to notice.
+const readyPart = 0.5
+
+// inTouch reports whether the configuration was confirmed so lately that new
+// clients are served well here.
+func (g *Gatekeeper) inTouch(s *snapshot) bool {
+	return float64(timekeeper.Now()-s.confirmed) < readyPart*float64(g.cfg.Lease)
 }
 
 // Open returns the number of requests under way.
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -340,22 +340,36 @@
 }
 
 func TestKeyedRequestsStopWhenTheLeaseHasRunOut(t *testing.T) {
-	s := newSystem(t, 300*time.Millisecond)
+	const lease = 300 * time.Millisecond
+	s := newSystem(t, lease)
 	e := s.add("desk", answer(200, "printed"))
 	s.start()
 	s.confirm(false)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !s.entry.Ready() {
-			return poll.Success()
-		}
-		return poll.Continue("still ready")
-	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	time.Sleep(lease)
+	assert.Assert(t, !s.entry.Ready())
 	response, _, err := s.call(http.MethodPost, "/orders/1", "x")
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, e.count(), 0)
 }
 
+func TestEntryOutOfTouchSendsItsClientsElsewhereWhileItCanServe(t *testing.T) {
+	s := newSystem(t, 4*time.Second)
+	s.add("writers", func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2) })
+	s.start()
+	response, _, err := s.call(http.MethodPost, "/verse/1", "prompt")
+	assert.NilError(t, err)
+	assert.Assert(t, !response.Close)
+	s.confirm(false)
+	until(t, func() bool { return !s.entry.Ready() })
+	response, _, err = s.call(http.MethodPost, "/verse/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK, "the lease has not run out")
+	assert.Assert(t, response.Close)
+	s.confirm(true)
+	until(t, s.entry.Ready)
+}
+
 func TestMetricsTellOutcomesAndReasons(t *testing.T) {
 	s := newSystem(t, time.Minute)
 	s.add("desk", answer(200, "printed"))
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -76,6 +76,10 @@
 		}
 	}
 	defer g.logEnd(e)
+	if s := g.current.Load(); s == nil || !g.inTouch(s) {
+		// Other entries may be in touch; the next request goes to one of them.
+		w.Header().Set("Connection", "close")
+	}
 	if !g.admit(e) {
 		return
 	}
