After a power loss of all, control leads and entries know it within half a second

Control was up at 40.18 s and led at 40.80 s: a whole election timeout, though nobody had met a leader. Entries had the configuration between 40.83 and 41.28 s: their first packets to machines without power were lost, and are sent again after a second; each waited for that.

Ruled out: a shorter election timeout always (slow and noisy machines would change leaders without need). A replica that has met no leader since its start asks after 3 to 9 ticks instead of 10 to 19; where one leads, the others refuse its pre-vote, as before. Connections between the system's processes are given up after 250 ms and another process is asked.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -49,9 +49,12 @@
 	endsQueue      = 1024
 	replicaTimeout = 700 * time.Millisecond
 	commandTimeout = 900 * time.Millisecond
-	maxWait        = time.Second
-	maxHops        = 3
-	identityBytes  = 6
+	// dialTimeout is far above the way to another control process, and far below
+	// the second after which a lost first packet is sent again.
+	dialTimeout   = 250 * time.Millisecond
+	maxWait       = time.Second
+	maxHops       = 3
+	identityBytes = 6
 	// compactBytes keeps the journal far below the smallest disk.
 	compactBytes = 4 << 20
 	// compactEntries bounds the time to read the log at a start.
@@ -156,7 +159,7 @@
 // New opens the journal and prepares the process; Run starts it.
 func New(cfg Config, endpoints Endpoints, logger *log.Logger) (*Director, error) {
 	d := &Director{
-		cfg: cfg, log: logger, client: transporter.NewClient(), endpoints: endpoints,
+		cfg: cfg, log: logger, client: transporter.NewClient(transporter.WithDialTimeout(dialTimeout)), endpoints: endpoints,
 		inbox: make(chan any, inboxSize), peers: map[string]chan messenger.ReplicaMessage{}, ended: make(chan string, endsQueue), wake: make(chan struct{}, 1),
 		proposals: map[uint64]chan result{}, reads: map[uint64][]chan result{}, waiters: map[int]waiter{},
 		seeds: cfg.Seeds, heard: map[string]time.Duration{}, homes: map[string]string{}, state: cataloguer.New(), fleet: newFleet(),
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -33,7 +33,10 @@
 
 const (
 	dialTimeout = 400 * time.Millisecond
-	idleConns   = 24
+	// innerDialTimeout is far above the way to control, and far below the second
+	// after which a lost first packet is sent again: another process is asked.
+	innerDialTimeout = 250 * time.Millisecond
+	idleConns        = 24
 	// idleLife is below the idle limits that endpoints usually have.
 	idleLife = 4 * time.Second
 	// retryShare leaves room below the declared budget, since windows slide and
@@ -142,7 +145,7 @@
 	return &Gatekeeper{
 		cfg: cfg, log: logger, dialect: dialect, seeds: cfg.Controls,
 		client:  transporter.NewClient(transporter.WithDialTimeout(dialTimeout), transporter.WithIdle(idleConns, idleLife)),
-		inner:   transporter.NewClient(),
+		inner:   transporter.NewClient(transporter.WithDialTimeout(innerDialTimeout)),
 		chooser: chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name))), budget: retrier.New(cfg.RetryRatio*retryShare, retryMost),
 		throttle: throttler.New(), streams: map[*stream]struct{}{}, seen: map[string]*sight{}, demand: map[demandKey]float64{},
 	}
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -52,6 +52,7 @@
 	changed := m.role != role || m.leader != leader
 	m.role = role
 	m.leader = leader
+	m.met = m.met || leader != ""
 	if role != Leader {
 		m.progress = nil
 		m.rejectReads()
--- a/internal/replicator/options.go
+++ b/internal/replicator/options.go
@@ -1,28 +1,33 @@
 package replicator
 
 const (
-	defaultElectionTicks  = 10
-	defaultHeartbeatTicks = 2
-	defaultBatchEntries   = 512
+	defaultElectionTicks = 10
+	// defaultFirstElectionTicks is for replicas that have met no leader since
+	// their start: above a leader's heartbeat and its way.
+	defaultFirstElectionTicks = 3
+	defaultHeartbeatTicks     = 2
+	defaultBatchEntries       = 512
 	// defaultBatchBytes keeps one message far below the memory of a process,
 	// however far a replica is behind.
 	defaultBatchBytes = 256 << 10
 )
 
 type options struct {
-	seed           uint64
-	electionTicks  int
-	heartbeatTicks int
-	batchEntries   int
-	batchBytes     int
+	seed               uint64
+	electionTicks      int
+	firstElectionTicks int
+	heartbeatTicks     int
+	batchEntries       int
+	batchBytes         int
 }
 
 func defaults() options {
 	return options{
-		electionTicks:  defaultElectionTicks,
-		heartbeatTicks: defaultHeartbeatTicks,
-		batchEntries:   defaultBatchEntries,
-		batchBytes:     defaultBatchBytes,
+		electionTicks:      defaultElectionTicks,
+		firstElectionTicks: defaultFirstElectionTicks,
+		heartbeatTicks:     defaultHeartbeatTicks,
+		batchEntries:       defaultBatchEntries,
+		batchBytes:         defaultBatchBytes,
 	}
 }
 
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -86,6 +86,7 @@
 	rng      *rand.Rand
 	role     Role
 	leader   string
+	met      bool // met tells that a leader was heard since the start.
 	vote     messenger.VoteState
 	snapshot messenger.Snapshot
 	entries  []messenger.Entry
@@ -228,9 +229,16 @@
 
 func (m *Machine) quorum() int { return len(m.Voters())/2 + 1 }
 
+// resetTimeout draws the next election timeout. A replica that has met no leader
+// since its start asks sooner: where one leads, the others refuse its pre-vote.
 func (m *Machine) resetTimeout() {
+	least, spread := m.options.electionTicks, m.options.electionTicks
+	if !m.met && m.role != Candidate {
+		least = min(m.options.firstElectionTicks, least)
+		spread = max(spread-least, 1)
+	}
 	m.elapsed = 0
-	m.timeout = m.options.electionTicks + m.rng.IntN(m.options.electionTicks)
+	m.timeout = least + m.rng.IntN(spread)
 }
 
 func (m *Machine) saveVote() {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -257,6 +257,34 @@
 	}
 }
 
+// TestReplicasThatMetNoLeaderAskSooner kills all replicas at once: but for ties
+// they elect before the shortest election timeout has passed. Replicas that
+// come back beside a leader do not unseat it.
+func TestReplicasThatMetNoLeaderAskSooner(t *testing.T) {
+	const seeds = 200
+	soon := 0
+	for seed := range uint64(seeds) {
+		c := newCluster(t, 3, seed)
+		c.settle(4 * defaultElectionTicks)
+		first := c.leader()
+		for _, id := range c.ids() {
+			if id != first {
+				c.start(id)
+			}
+		}
+		c.settle(2 * defaultElectionTicks)
+		assert.Equal(t, c.leader(), first)
+		for _, id := range c.ids() {
+			c.start(id)
+		}
+		c.settle(defaultElectionTicks)
+		if c.leader() != "" {
+			soon++
+		}
+	}
+	assert.Assert(t, soon >= seeds*3/4, "%d of %d", soon, seeds)
+}
+
 func TestLostDiskRejoinsAsNewVoter(t *testing.T) {
 	c := newCluster(t, 3, 1)
 	c.settle(40)
