Large configurations do not choke the leader's link; an emptied log ends no replica

Its 100 Mbit/s link was full: followers that were behind in the log asked it for its view and were sent the whole document with each answer, 20 times a second each, though they take it from the log; three new replicas were sent every document that ever was (some 70 KB each), in calls of up to 4 MB that timed out and were sent again; and resent older versions took places in the log.

Ruled out: the entries' own fetches (28 x 70 KB are 0.2 s a version). Now control processes ask for no document; the log is compacted after 512 KB; a call to a peer is bounded by bytes and its time grows with them; an overtaken version is acknowledged after a confirmed read, without a place in the log.

The end is now looked for only where a first entry stands; the test hangs without.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -55,8 +55,9 @@
 	maxWait       = time.Second
 	maxHops       = 3
 	identityBytes = 6
-	// compactBytes keeps the journal far below the smallest disk.
-	compactBytes = 4 << 20
+	// compactBytes is some of the largest configurations: a new replica reads the
+	// snapshot with the newest one, and not all that were before it.
+	compactBytes = 512 << 10
 	// compactEntries bounds the time to read the log at a start.
 	compactEntries = 2000
 )
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -403,7 +403,7 @@
 			return
 		case first := <-queue:
 			batch := messenger.ReplicaBatch{Messages: drain(first, queue)}
-			call, cancel := context.WithTimeout(ctx, replicaTimeout)
+			call, cancel := context.WithTimeout(ctx, replicaTimeout+timeOnLink(batch))
 			var nothing struct{}
 			if err := d.client.Call(call, url, batch, &nothing); err != nil {
 				d.log.Debug("replica not reached", "replica", replica, "err", err)
@@ -413,15 +413,22 @@
 	}
 }
 
-// peerBatch bounds the messages in one call to a peer.
-const peerBatch = 16
+const (
+	// peerBatch bounds the messages in one call to a peer.
+	peerBatch = 16
+	// peerBatchBytes bounds their bytes, but for the last message: the slowest
+	// link carries them well within the time of the call.
+	peerBatchBytes = 256 << 10
+)
 
 func drain(first messenger.ReplicaMessage, queue <-chan messenger.ReplicaMessage) []messenger.ReplicaMessage {
 	messages := []messenger.ReplicaMessage{first}
-	for len(messages) < peerBatch {
+	bytes := sizeOf(first)
+	for len(messages) < peerBatch && bytes < peerBatchBytes {
 		select {
 		case next := <-queue:
 			messages = append(messages, next)
+			bytes += sizeOf(next)
 		default:
 			return messages
 		}
@@ -429,6 +436,31 @@
 	return messages
 }
 
+// slowLink is the pace in bytes a second that a batch may take on a loaded
+// link, a tenth of the slowest machine's.
+const slowLink = 512 << 10
+
+// timeOnLink is what the bytes of a batch may take beside the call itself.
+func timeOnLink(batch messenger.ReplicaBatch) time.Duration {
+	bytes := 0
+	for _, message := range batch.Messages {
+		bytes += sizeOf(message)
+	}
+	return time.Duration(bytes) * time.Second / slowLink
+}
+
+// sizeOf returns the bytes of entries and state in a message.
+func sizeOf(message messenger.ReplicaMessage) int {
+	bytes := 0
+	if message.Snapshot != nil {
+		bytes += len(message.Snapshot.Data)
+	}
+	for _, entry := range message.Entries {
+		bytes += len(entry.Data)
+	}
+	return bytes
+}
+
 // receive takes messages of a peer.
 func (d *Director) receive(ctx context.Context, batch messenger.ReplicaBatch) struct{} {
 	for _, message := range batch.Messages {
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -128,14 +129,18 @@
 // silentPause is the pace of attempts to reach a leader.
 const silentPause = 150 * time.Millisecond
 
+// noDocument is above all versions: a control process has the document from the
+// log, and asks the leader for its view only. A process that is behind in the
+// log would else be sent the document again and again.
+const noDocument = math.MaxInt
+
 func (d *Director) followOnce(ctx context.Context, leader string) bool {
 	targets := []string{leader}
 	if leader == "" {
 		targets = d.contacts()
 	}
 	d.mu.Lock()
-	version, _ := d.state.Document()
-	request := messenger.FleetRequest{Version: version, View: d.fleet.view, Term: d.fleet.syncedTerm, WaitMs: int(maxWait / time.Millisecond)}
+	request := messenger.FleetRequest{Version: noDocument, View: d.fleet.view, Term: d.fleet.syncedTerm, WaitMs: int(maxWait / time.Millisecond)}
 	d.mu.Unlock()
 	for _, target := range targets {
 		var response messenger.FleetResponse
@@ -316,11 +321,24 @@
 	if request.Document == "" {
 		return d.readNewest(ctx)
 	}
+	if d.overtaken(request.Version) {
+		err := d.confirm(ctx)
+		return messenger.DocumentAnswer{Accepted: err == nil, Version: request.Version}
+	}
 	_, err := d.command(ctx, messenger.FleetCommand{Version: request.Version, Document: request.Document})
 	d.log.Info("configuration declared", "version", request.Version, "err", err)
 	return messenger.DocumentAnswer{Accepted: err == nil, Version: request.Version}
 }
 
+// overtaken reports whether a version is not above the committed one, so that
+// declaring it changes nothing and needs no place in the log.
+func (d *Director) overtaken(version int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	newest, _ := d.state.Document()
+	return version <= newest
+}
+
 func (d *Director) readNewest(ctx context.Context) messenger.DocumentAnswer {
 	if err := d.confirm(ctx); err != nil {
 		return messenger.DocumentAnswer{}
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -1,6 +1,7 @@
 package journaler
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -60,6 +61,28 @@
 
 // TestTornTailIsFoundOut cuts the file short, as a crash in the middle of a
 // write may leave it: the journal reports damage and never a shorter history.
+// TestSnapshotEmptiesALogOfManyPages hangs where the end of the emptied log is
+// looked for with the library's Last.
+func TestSnapshotEmptiesALogOfManyPages(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		folder := t.TempDir()
+		j := open(t, folder)
+		assert.NilError(t, j.Found("c1@a", messenger.Snapshot{Voters: []string{"c1@a"}}))
+		large := entries(1, 1, 60)
+		for i := range large {
+			large[i].Data = bytes.Repeat([]byte{byte(i)}, 3000)
+		}
+		assert.NilError(t, j.Save([]replicator.SaveEffect{{Entries: large}}))
+		assert.NilError(t, j.Save([]replicator.SaveEffect{{Snapshot: &messenger.Snapshot{Index: 60, Term: 1}, Reset: reset}}))
+		assert.NilError(t, j.Save([]replicator.SaveEffect{{Entries: entries(2, 61, 62)}}))
+		assert.NilError(t, j.Close())
+		state, err := open(t, folder).Load()
+		assert.NilError(t, err)
+		assert.Equal(t, state.Snapshot.Index, 60)
+		assert.Equal(t, len(state.Entries), 2)
+	}
+}
+
 func TestTornTailIsFoundOut(t *testing.T) {
 	folder := t.TempDir()
 	j := open(t, folder)
--- a/internal/journaler/seal.go
+++ b/internal/journaler/seal.go
@@ -91,8 +91,12 @@
 	if err != nil {
 		return now, err
 	}
-	if key, _ := tx.Bucket(bucketLog).Cursor().Last(); key != nil {
-		now.Last = int(binary.BigEndian.Uint64(key))
+	cursor := tx.Bucket(bucketLog).Cursor()
+	// The library's Last never returns where this change has emptied all of
+	// several pages; First does.
+	if first, _ := cursor.First(); first != nil {
+		last, _ := cursor.Last()
+		now.Last = int(binary.BigEndian.Uint64(last))
 		return now, nil
 	}
 	var snapshot messenger.Snapshot
