--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -169,7 +169,9 @@
 // of another model was given up for it.
 const stealGain = 1.15
 
-// mostDonors bounds the groups that are given up for one.
+// mostDonors bounds the groups that are given up for one of a model that stands
+// already; a model without any group gets its first one at any such price, so
+// that none of its clients are left out.
 const mostDonors = 2
 
 // steal gives up groups of models that have plenty where their members and free
@@ -208,9 +210,13 @@
 	var donors []*Group
 	held := p.ratios()
 	before := held[needy.Name]
+	most := mostDonors
+	if before == 0 {
+		most = needy.Size
+	}
 	for _, g := range p.leastBusy() {
 		model, ok := p.msg.Engine.Model(g.Model)
-		if !ok || g.FabricDomain != domain || !p.mayGive(g, needy) || len(donors) == mostDonors {
+		if !ok || g.FabricDomain != domain || !p.mayGive(g, needy) || len(donors) == most {
 			continue
 		}
 		donors = append(donors, g)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -1,10 +1,13 @@
 package placer
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"papayaseam/internal/describer"
+	"papayaseam/internal/messenger"
 	"papayaseam/internal/tracker"
 
 	"gotest.tools/v3/assert"
@@ -173,6 +176,39 @@
 	assert.Equal(t, w.orders, orders, "a new leader orders nothing where all is well")
 }
 
+// TestModelWithoutAGroupGetsItsFirstOne is for large groups beside many small
+// ones: more than two must be given up for one, or none of its clients is served.
+func TestModelWithoutAGroupGetsItsFirstOne(t *testing.T) {
+	msg := PlanMsg{Now: time.Second, Service: "s", Demand: map[string]float64{"large": 8, "small": 4}, Engine: describer.Engine{
+		Slots: 48, LoadsPerSec: 3, LoadsAtOnce: 6, Models: []describer.Model{
+			{Name: "large", Size: 8, Share: 0.5, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
+			{Name: "small", Size: 2, Share: 0.5, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
+		},
+	}}
+	for i := range 10 {
+		group := i/2 + 1
+		msg.Endpoints = append(msg.Endpoints, tracker.Endpoint{
+			View: messenger.EndpointView{Instance: fmt.Sprintf("e%d", i), Born: 1, Service: "s"},
+			Report: messenger.EndpointReport{
+				Group: fmt.Sprintf("small/%d", group), Epoch: group, Rank: i % 2, State: []string{MemberOpen, MemberReady}[i%2],
+				Models: []string{"small"}, Staged: []string{"large"}, FabricDomain: "d",
+			},
+			ReportAt: time.Second,
+		})
+	}
+	p := New(1)
+	p.Update(msg)
+	msg.Now += settled + time.Second
+	p.Update(msg)
+	closing := 0
+	for _, g := range p.Groups() {
+		if g.State == Closing {
+			closing++
+		}
+	}
+	assert.Equal(t, closing, 4)
+}
+
 func TestObservingLeaderShowsWholeGroupsAndOrdersNothing(t *testing.T) {
 	w := busy()
 	large, small := w.open("large"), w.open("small")
