Members of a head that may still serve are given away only after they have left

A leaving endpoint that refuses connections is silent, not ended, and a head that was not heard stands for one that is silent: members leave first.

--- a/internal/placer/adopt.go
+++ b/internal/placer/adopt.go
@@ -52,6 +52,10 @@
 	}
 	declared, ok := p.msg.Engine.Model(model)
 	g := &Group{Name: name, Service: p.msg.Service, Model: model, Epoch: epoch, Since: p.msg.Now, State: Open, adopted: true}
+	if _, known := ranks[0]; !known {
+		// The head may serve where this leader does not reach it.
+		g.Members = append(g.Members, Member{})
+	}
 	for _, rank := range slices.Sorted(maps.Keys(ranks)) {
 		e := ranks[rank]
 		g.Members = append(g.Members, Member{e.View.Instance, e.View.Born})
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -185,7 +185,7 @@
 const (
 	sound   health = iota
 	leaving        // leaving members serve on for a while.
-	silent         // silent members do not answer control; they may still serve.
+	silent         // silent members do not answer control; they may still serve, as leaving ones do that no longer listen.
 	dead           // dead members have ended for certain.
 )
 
@@ -194,9 +194,9 @@
 	switch {
 	case !ok:
 		return silent
-	case e.View.Born != m.Born || e.Refused:
+	case e.View.Born != m.Born || (e.Refused && !e.View.Leaving):
 		return dead
-	case p.isSilent(e) || e.ReportAt == 0:
+	case e.Refused || p.isSilent(e) || e.ReportAt == 0:
 		return silent
 	case e.View.Leaving:
 		return leaving
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -209,6 +209,79 @@
 	assert.Equal(t, closing, 4)
 }
 
+// pair returns the view of two endpoints whose group "small/1" is open, and a
+// third one that is free.
+func pair() PlanMsg {
+	msg := PlanMsg{Now: time.Second, Service: "s", Engine: testEngine, Demand: map[string]float64{"small": 2}}
+	for i := range 3 {
+		e := tracker.Endpoint{
+			View:     messenger.EndpointView{Instance: fmt.Sprintf("e%d", i), Born: 1, Service: "s"},
+			Report:   messenger.EndpointReport{Models: []string{"small"}, Staged: []string{"large"}, FabricDomain: "d"},
+			ReportAt: time.Second, Seen: time.Second,
+		}
+		if i < 2 {
+			e.Report.Group, e.Report.Epoch, e.Report.Rank, e.Report.State = "small/1", 1, i, []string{MemberOpen, MemberReady}[i]
+		}
+		msg.Endpoints = append(msg.Endpoints, e)
+	}
+	return msg
+}
+
+func joined(orders []Order) []string {
+	var ids []string
+	for _, o := range orders {
+		if o.Op == OpJoin {
+			ids = append(ids, o.Instance)
+		}
+	}
+	return ids
+}
+
+// TestLeavingHeadThatNoLongerListensMayStillServe has a head that leaves and
+// refuses connections while its last requests run.
+func TestLeavingHeadThatNoLongerListensMayStillServe(t *testing.T) {
+	msg := pair()
+	p := New(1)
+	assert.DeepEqual(t, joined(p.Update(msg)), []string(nil))
+	msg.Now += time.Second
+	msg.Endpoints[0].View.Leaving = true
+	msg.Endpoints[0].Refused = true
+	assert.Equal(t, len(joined(p.Update(msg))), 0, "its member has not left")
+	msg.Now += time.Second
+	assert.DeepEqual(t, joined(p.Update(msg)), []string(nil))
+	msg.Endpoints[1].Report.Group, msg.Endpoints[1].Report.Epoch, msg.Endpoints[1].Report.State = "", 0, ""
+	msg.Now += time.Second
+	assert.DeepEqual(t, joined(p.Update(msg)), []string{"e1", "e2"})
+}
+
+// TestGroupWhoseHeadIsNotHeardIsNotGivenAway has a new leader that hears the
+// members of a group, but not its head.
+func TestGroupWhoseHeadIsNotHeardIsNotGivenAway(t *testing.T) {
+	msg := PlanMsg{Now: time.Second, Service: "s", Engine: testEngine, Demand: map[string]float64{"small": 4}}
+	for rank := 1; rank < 4; rank++ {
+		msg.Endpoints = append(msg.Endpoints, tracker.Endpoint{
+			View: messenger.EndpointView{Instance: fmt.Sprintf("e%d", rank), Born: 1, Service: "s"},
+			Report: messenger.EndpointReport{
+				Group: "large/1", Epoch: 1, Rank: rank, State: MemberReady,
+				Models: []string{"large"}, Staged: []string{"small"}, FabricDomain: "d",
+			},
+			ReportAt: time.Second, Seen: time.Second,
+		})
+	}
+	leave := func(i int) {
+		r := &msg.Endpoints[i].Report
+		r.Group, r.Epoch, r.State = "", 0, ""
+		msg.Now += time.Second
+	}
+	p := New(2)
+	assert.Equal(t, len(joined(p.Update(msg))), 0, "no member has left")
+	leave(0)
+	assert.Equal(t, len(joined(p.Update(msg))), 0, "two members have not left")
+	leave(1)
+	assert.DeepEqual(t, joined(p.Update(msg)), []string{"e1", "e2"})
+	assert.Equal(t, p.Groups()[0].Name, "large/1", "its head may stand still yet")
+}
+
 func TestObservingLeaderShowsWholeGroupsAndOrdersNothing(t *testing.T) {
 	w := busy()
 	large, small := w.open("large"), w.open("small")
