One loop at a steady pace in the director

Cause: repeatOrWoken stood beside repeat with the same loop. repeat now calls it without a channel, which never wakes; behaviour is the same.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -268,16 +268,7 @@
 
 // repeat runs a step at a steady pace until the context ends.
 func repeat(ctx context.Context, every time.Duration, step func(context.Context)) {
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			step(ctx)
-		}
-	}
+	repeatOrWoken(ctx, every, nil, step)
 }
 
 // repeatOrWoken is repeat, but a word on the channel brings the next step
