Every reader of an endpoint's bytes has a bound; logs go to standard output

Cause: an answer longer than 16 MiB was cut at that length and passed on as whole; 200 endless answers at once could hold 3.2 GB; the rest of an inner answer was read without a bound; heads were bounded by the library's 10 MB only; an event could hold 1 MiB, or come drop by drop until the client's deadline.

Change: heads 64 KB, events 128 KB and one second, whole answers 16 MiB each and 32 MiB together beyond 64 KB each, reports 256 KB, rests of answers 64 KB. At a bound the connection is closed, and a request that may goes on elsewhere.

Before: TestEndlessBodyOfAnOrderNeverLooksWhole got 200 with a cut body. After: the TestEndless tests of transporter, gatekeeper and platform pass. Conclusion: nothing an endpoint sends holds more than its bound. Bytes without any line end are bounded by the client's time and a buffer of 4 KB.

--- a/internal/commander/run.go
+++ b/internal/commander/run.go
@@ -11,7 +11,7 @@
 	"github.com/urfave/cli/v3"
 )
 
-func runCommand(stderr io.Writer) *cli.Command {
+func runCommand(stdout io.Writer) *cli.Command {
 	return &cli.Command{
 		Name: "run", Usage: "run the roles that the settings name",
 		Description: "Example: papayaseam run --settings examples/three-domains/control-a.ini\n\nThe first SIGTERM drains; a second one ends the process and logs what it cut.",
@@ -21,7 +21,7 @@
 			if err != nil {
 				return err
 			}
-			return runner.Run(ctx, settings, stderr)
+			return runner.Run(ctx, settings, stdout)
 		},
 	}
 }
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -13,8 +13,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxWhole bounds an answer that is held until it is whole.
-const maxWhole = 16 << 20
+const (
+	// maxWhole bounds an answer that is held until it is whole.
+	maxWhole = 16 << 20
+	// heldBytes bounds what large answers under way hold together, a sixth of the
+	// smallest entry's memory.
+	heldBytes = 32 << 20
+)
 
 // verdict is what is known of an attempt.
 type verdict int
@@ -66,8 +71,7 @@
 	}
 	g.noteAnswer(target, answer)
 	if answer.NotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxWhole))
-		_ = response.Body.Close()
+		transporter.Discard(response.Body)
 		return response, answer, notRun, nil
 	}
 	e.offered = true
@@ -127,7 +131,7 @@
 		g.ended(target, outcomeOf(ctx, v))
 		return nil, nil, v, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxWhole))
+	body, err := g.readWhole(e, response)
 	_ = response.Body.Close()
 	if err != nil {
 		g.ended(target, outcomeOf(ctx, unknown))
@@ -137,6 +141,13 @@
 	return response, body, answered, nil
 }
 
+// readWhole reads an answer; what it holds is given back when the exchange ends.
+func (g *Gatekeeper) readWhole(e *exchange, response *http.Response) ([]byte, error) {
+	body, held, err := g.bodies.Read(response.Body, maxWhole)
+	e.held += held
+	return body, err
+}
+
 func outcomeOf(ctx context.Context, v verdict) chooser.Outcome {
 	switch {
 	case ctx.Err() != nil:
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -112,6 +112,7 @@
 	dialect Dialect
 	client  *transporter.Client
 	inner   *transporter.Client
+	bodies  *transporter.Pool
 	current atomic.Pointer[snapshot]
 	leaving atomic.Int64 // leaving is when the stop began; 0 while it has not.
 	open    atomic.Int64
@@ -147,6 +148,7 @@
 		cfg: cfg, log: logger, dialect: dialect, seeds: cfg.Controls,
 		client:  transporter.NewClient(transporter.WithDialTimeout(dialTimeout), transporter.WithIdle(idleConns, idleLife)),
 		inner:   transporter.NewClient(transporter.WithDialTimeout(innerDialTimeout)),
+		bodies:  transporter.NewPool(heldBytes),
 		chooser: chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name))), budget: retrier.New(cfg.RetryRatio*retryShare, retryMost),
 		throttle: throttler.New(), returners: newReturners(), streams: map[*stream]struct{}{}, seen: map[string]*sight{}, demand: map[demandKey]float64{},
 	}
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -58,6 +58,7 @@
 	full         float64 // full is the taken part of the model's places at the last pick.
 	load         int     // load is the estimated requests at the endpoint of the first attempt.
 	kept         *keptAnswer
+	held         int // held is what the answer holds of the memory for large ones.
 }
 
 // ServeHTTP answers one request of a client.
@@ -82,6 +83,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), e.until-timekeeper.Now())
 	defer cancel()
+	defer func() { g.bodies.Release(e.held) }()
 	g.note(e)
 	if e.route.Kind == describer.KindStreaming {
 		g.serveStream(ctx, e)
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -17,9 +17,16 @@
 
 const (
 	streamBuffer = 4 << 10
-	maxEvent     = 1 << 20
+	// maxEvent is far above an event of some tokens.
+	maxEvent = 128 << 10
+	// eventWithin is how long the bytes of one event may take: they are sent
+	// together, and a client leaves after two seconds without one.
+	eventWithin = time.Second
 )
 
+// errEventUnfinished ends a stream whose event goes on and on.
+var errEventUnfinished = errors.New("the bytes of an event go on without its end; the stream is cut")
+
 // errEventTooLong ends a stream whose event has no end.
 var errEventTooLong = errors.New("an event is longer than any sound one; the stream is cut")
 
@@ -121,7 +128,7 @@
 
 // passFailure passes an endpoint's own failure on, unless the answer has begun.
 func (g *Gatekeeper) passFailure(e *exchange, response *http.Response) (bool, verdict, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxWhole))
+	body, err := g.readWhole(e, response)
 	if err != nil || e.writing {
 		return false, unknown, errors.Newf("the endpoint answered %d", response.StatusCode)
 	}
@@ -181,8 +188,14 @@
 	reader := bufio.NewReaderSize(body, streamBuffer)
 	flusher := http.NewResponseController(e.w)
 	var event []byte
+	unfinished := time.AfterFunc(eventWithin, func() { s.cancel(errEventUnfinished) })
+	unfinished.Stop()
+	defer unfinished.Stop()
 	for {
 		line, err := reader.ReadSlice('\n')
+		if len(event) == 0 {
+			unfinished.Reset(eventWithin)
+		}
 		event = append(event, line...)
 		if len(event) > maxEvent {
 			return errEventTooLong
@@ -196,6 +209,7 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
+		unfinished.Stop()
 		g.noteBytes(s)
 		g.noteFirst(e)
 		if err := g.writeEvent(e, event); err != nil {
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -195,7 +195,7 @@
 		return errors.Wrap(err, "write the settings")
 	}
 	cmd := exec.CommandContext(ctx, s.binary, "run", "--settings", file)
-	cmd.Stderr = os.Stderr
+	cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "start a process; check the path of the program")
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	err := runner.Run(ctx, settings, os.Stderr)
+//	err := runner.Run(ctx, settings, os.Stdout)
 //
 // Run returns nil after a planned stop. The first SIGTERM or SIGINT drains; a
 // second one ends the process and says what it cut.
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -77,6 +77,8 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableKeepAlives:   !keepAlive,
 		DisableCompression:  true,
+		// An endpoint in trouble may send a head without an end.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -156,6 +158,6 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxInnerBytes)).Decode(out); err != nil {
 		return errors.Mark(errors.Wrap(err, "decode the answer"), ErrBroken)
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
+	discard(response.Body)
 	return nil
 }
--- /dev/null
+++ b/internal/transporter/whole.go
@@ -0,0 +1,89 @@
+package transporter
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// freeBytes is what any body may hold without a reservation: far above usual
+	// answers, and little beside the memory of a process at hundreds of calls.
+	freeBytes = 64 << 10
+	// restBytes is how much of an answer that nobody needs is read to keep its
+	// connection.
+	restBytes = 64 << 10
+)
+
+// ErrEndless means that a body is longer than any sound one; close its
+// connection and ask elsewhere.
+var ErrEndless = errors.New("the answer is longer than any sound one; its connection is closed")
+
+// ErrHeld means that all bodies under way hold as much as this process may;
+// ask again in a moment.
+var ErrHeld = errors.New("answers under way hold all the memory set aside for them; ask again in a moment")
+
+// Pool bounds the bytes that large bodies hold together. It is safe for
+// concurrent use.
+type Pool struct{ left atomic.Int64 }
+
+// NewPool returns a pool of so many bytes.
+func NewPool(bytes int) *Pool {
+	p := &Pool{}
+	p.left.Store(int64(bytes))
+	return p
+}
+
+// Read returns a whole body of at most so many bytes, and what it holds of the
+// pool, to be given back by Release. It returns ErrEndless for a longer body
+// and ErrHeld where the pool is empty; what was held then is released.
+func (p *Pool) Read(body io.Reader, most int) (data []byte, held int, err error) {
+	data = make([]byte, 0, 512)
+	for {
+		if len(data) == cap(data) {
+			grow := cap(data)
+			if cap(data)+grow > freeBytes {
+				if !p.reserve(grow) {
+					p.Release(held)
+					return nil, 0, ErrHeld
+				}
+				held += grow
+			}
+			data = append(make([]byte, 0, cap(data)+grow), data...)
+		}
+		n, err := body.Read(data[len(data):min(cap(data), most+1)])
+		data = data[:len(data)+n]
+		switch {
+		case len(data) > most:
+			p.Release(held)
+			return nil, 0, ErrEndless
+		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+			return data, held, nil
+		case err != nil:
+			p.Release(held)
+			return nil, 0, err
+		}
+	}
+}
+
+func (p *Pool) reserve(n int) bool {
+	if p.left.Add(int64(-n)) >= 0 {
+		return true
+	}
+	p.left.Add(int64(n))
+	return false
+}
+
+// Release gives bytes back.
+func (p *Pool) Release(n int) { p.left.Add(int64(n)) }
+
+// discard reads what is left of a small answer, so that its connection can be
+// used again; a longer rest ends with the connection.
+func discard(body io.Reader) { _, _ = io.Copy(io.Discard, io.LimitReader(body, restBytes)) }
+
+// Discard reads what is left of an answer that nobody needs and closes it.
+func Discard(body io.ReadCloser) {
+	discard(body)
+	_ = body.Close()
+}
