--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -44,6 +44,9 @@
 	return c.state.Version, c.state.Document
 }
 
+// Traffic reports whether clients were ever served.
+func (c *Cataloguer) Traffic() bool { return c.state.Traffic }
+
 // Departed reports whether a boot of an endpoint said that it leaves.
 func (c *Cataloguer) Departed(id string, born int) bool {
 	return slices.Contains(c.state.Departures, messenger.Departure{Instance: id, Born: born})
@@ -65,6 +68,10 @@
 		}
 		changed = true
 	}
+	if command.Traffic && !c.state.Traffic {
+		c.state.Traffic = true
+		changed = true
+	}
 	if e := command.Endpoint; e != nil {
 		c.noteEndpoint(*e)
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -8,7 +8,8 @@
 //	d.Register(mux)
 //	err = d.Run(ctx)
 //
-// A process without a folder has no vote and passes all calls on to the leader.
+// A process without a folder has no vote. Each process follows the leader's view
+// and serves it to entries, and passes on in one digest what it has heard.
 //
 // Lock order: the loop goroutine owns the replica and its journal; mu guards
 // everything else and is never held while the loop or a call is waited for.
@@ -22,6 +23,7 @@
 	"sync"
 	"time"
 
+	"papayaseam/internal/batcher"
 	"papayaseam/internal/cataloguer"
 	"papayaseam/internal/describer"
 	"papayaseam/internal/enroller"
@@ -45,8 +47,11 @@
 	batchSize  = 256
 	// peerQueue bounds what waits for a peer that does not read; the log repeats
 	// what is dropped.
-	peerQueue      = 64
-	endsQueue      = 1024
+	peerQueue = 64
+	endsQueue = 1024
+	// ordersAtOnce bounds the orders under way: more of them only wait for each
+	// other in this process, and time out.
+	ordersAtOnce   = 64
 	replicaTimeout = 700 * time.Millisecond
 	commandTimeout = 900 * time.Millisecond
 	// dialTimeout is far above the way to another control process, and far below
@@ -82,9 +87,14 @@
 // ErrEnded marks errors of calls that show that the endpoint's boot has ended.
 var ErrEnded = errors.New("this boot of the endpoint has ended; its next boot announces itself")
 
+// ErrSuperseded marks orders that an endpoint refused since it has seen a newer
+// epoch or token; look at its state before the next order.
+var ErrSuperseded = errors.New("the endpoint has seen newer orders; its group must be given up")
+
 // Config is the place of one control process.
 type Config struct {
 	Name       string
+	Domain     string   // Domain is the failure domain of this process.
 	Address    string   // Address is the inner address of this process.
 	Home       string   // Home is the address where endpoints reach this process.
 	Seeds      []string // Seeds are the inner addresses of the seeds.
@@ -132,6 +142,8 @@
 	inbox     chan any
 	peers     map[string]chan messenger.ReplicaMessage
 	ended     chan string
+	orders    chan struct{} // orders holds a token for each order under way.
+	rounds    *batcher.Batcher[messenger.Confirmation]
 	wake      chan struct{} // wake brings the next plan forward.
 	logBytes  int
 
@@ -151,7 +163,9 @@
 	voters    []string
 	heard     map[string]time.Duration
 	joiners   []string
-	homes     map[string]string // homes maps inner addresses to where endpoints call.
+	authority time.Duration // authority is when the last round began in which a quorum confirmed this leader.
+	roundAt   time.Duration // roundAt is when the last confirmed round began, through whichever leader.
+	collector collector
 	state     *cataloguer.Cataloguer
 	config    *describer.Configuration
 	fleet     fleet
@@ -161,10 +175,11 @@
 func New(cfg Config, endpoints Endpoints, logger *log.Logger) (*Director, error) {
 	d := &Director{
 		cfg: cfg, log: logger, client: transporter.NewClient(transporter.WithDialTimeout(dialTimeout)), endpoints: endpoints,
-		inbox: make(chan any, inboxSize), peers: map[string]chan messenger.ReplicaMessage{}, ended: make(chan string, endsQueue), wake: make(chan struct{}, 1),
+		inbox: make(chan any, inboxSize), peers: map[string]chan messenger.ReplicaMessage{}, ended: make(chan string, endsQueue), orders: make(chan struct{}, ordersAtOnce), wake: make(chan struct{}, 1),
 		proposals: map[uint64]chan result{}, reads: map[uint64][]chan result{}, waiters: map[int]waiter{},
-		seeds: cfg.Seeds, heard: map[string]time.Duration{}, homes: map[string]string{}, state: cataloguer.New(), fleet: newFleet(),
+		seeds: cfg.Seeds, heard: map[string]time.Duration{}, state: cataloguer.New(), fleet: newFleet(), collector: newCollector(),
 	}
+	d.rounds = batcher.New(roundGap, d.round)
 	if cfg.Folder == "" {
 		return d, nil
 	}
@@ -209,6 +224,7 @@
 	reaped := make(chan struct{})
 	go d.reapUntil(ctx, reaped)
 	d.begin("sync", func() { d.follow(ctx) })
+	d.begin("vigil", func() { repeat(ctx, vigilEvery, d.vigil) })
 	var err error
 	if d.journal == nil {
 		<-ctx.Done()
@@ -316,7 +332,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := []string{enroller.AddressOf(d.leader)}
-	list = append(list, d.fleet.controls...)
+	for _, c := range d.fleet.viewer.Controls() {
+		list = append(list, c.Address)
+	}
 	for _, voter := range d.voters {
 		list = append(list, enroller.AddressOf(voter))
 	}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -18,6 +18,7 @@
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/placer"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -344,3 +345,6 @@
 	known, ok := second.director.table().Endpoint("e1")
 	assert.Assert(t, ok && known.View.Leaving)
 }
+
+// quiet returns a logger that writes nowhere.
+func quiet() *log.Logger { return exposer.NewLogger(io.Discard, "test") }
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"papayaseam/internal/describer"
-	"papayaseam/internal/enroller"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/placer"
+	"papayaseam/internal/prober"
 	"papayaseam/internal/tracker"
+	"papayaseam/internal/viewer"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -53,37 +55,42 @@
 	last  map[string]float64
 }
 
+// relayState is what another control process last passed on.
+type relayState struct {
+	at        time.Duration
+	view      messenger.ControlView
+	entries   []string
+	sightings []messenger.Sighting
+}
+
 // fleet is what control knows of endpoints, groups and entries.
 type fleet struct {
 	tracker      *tracker.Tracker
 	placers      map[string]*placer.Placer
 	term         int
-	view         int
-	endpoints    []messenger.EndpointView
-	groups       []messenger.GroupView
-	controls     []string
+	viewer       *viewer.Viewer
 	changed      chan struct{}
 	entries      map[string]entryState
+	relays       map[string]relayState // relays maps the addresses of other control processes to their digests.
 	demand       demandMeter
-	polling      map[string]time.Duration
-	inFlight     map[string]bool
+	prober       *prober.Prober
 	lastNew      time.Duration
 	ledAt        time.Duration
 	token        int
 	nextProposal uint64
-	known        int // known is the number of endpoints at the last plan.
-	syncedTerm   int
+	known        int  // known is the number of endpoints at the last plan.
 	inherited    bool // inherited tells that this leader began with an earlier one's groups.
 	partial      bool // partial tells that groups which are not known here may stand.
 	censusAt     time.Duration
 	remembered   map[string]int // remembered maps identities to the boots whose addresses are in the log.
+	trafficAt    time.Duration  // trafficAt is when the log was last asked to note that clients are served.
 }
 
 func newFleet() fleet {
 	return fleet{
-		tracker: tracker.New(), placers: map[string]*placer.Placer{}, changed: make(chan struct{}), entries: map[string]entryState{},
-		demand: demandMeter{work: map[string]float64{}}, polling: map[string]time.Duration{}, inFlight: map[string]bool{},
-		remembered: map[string]int{},
+		tracker: tracker.New(), placers: map[string]*placer.Placer{}, viewer: viewer.New(), prober: prober.New(),
+		changed: make(chan struct{}), entries: map[string]entryState{}, relays: map[string]relayState{},
+		demand: demandMeter{work: map[string]float64{}}, remembered: map[string]int{},
 	}
 }
 
@@ -97,7 +104,7 @@
 // mu is held.
 func (d *Director) publish() {
 	f := &d.fleet
-	endpoints := make([]messenger.EndpointView, 0, len(f.endpoints))
+	var endpoints []messenger.EndpointView
 	for _, e := range f.tracker.Endpoints() {
 		if e.Refused {
 			continue
@@ -107,21 +114,10 @@
 		view.FabricDomain = e.Report.FabricDomain
 		endpoints = append(endpoints, view)
 	}
-	groups := d.groupViews()
-	if !slices.Equal(endpoints, f.endpoints) || !sameGroups(groups, f.groups) {
-		f.view++
-		f.endpoints = endpoints
-		f.groups = groups
+	msg := viewer.PublishMsg{Term: f.term, Partial: f.partial, Endpoints: endpoints, Groups: d.groupViews(), Controls: d.liveControls()}
+	if f.viewer.Update(msg) {
 		f.announce()
-		return
 	}
-	f.groups = groups
-}
-
-func sameGroups(a, b []messenger.GroupView) bool {
-	return slices.EqualFunc(a, b, func(a, b messenger.GroupView) bool {
-		return a.Name == b.Name && a.Open == b.Open && a.Broken == b.Broken && slices.Equal(a.Members, b.Members)
-	})
 }
 
 // groupViews returns the groups that have served or may soon; mu is held.
@@ -154,11 +150,13 @@
 	f.token = 0
 	f.lastNew = now()
 	f.demand = demandMeter{work: map[string]float64{}, since: now(), last: f.demand.last}
-	f.polling = map[string]time.Duration{}
+	f.prober = prober.New()
+	f.relays = map[string]relayState{}
 	f.remembered = map[string]int{}
-	f.inherited = len(f.groups) > 0
+	f.inherited = len(f.viewer.Groups()) > 0 && !f.viewer.Partial()
 	f.partial = !f.inherited
-	known := f.endpoints
+	d.collector = newCollector()
+	known := f.viewer.Endpoints()
 	if len(known) == 0 {
 		known = d.state.Endpoints()
 	}
@@ -168,8 +166,9 @@
 	f.announce()
 }
 
-// plan runs the placers at a leader that has settled. Before that, one that
-// began without groups only looks for those that stand.
+// plan runs the placers at a leader that has settled and that a quorum confirmed
+// of late. Before it has settled, one that began without groups only looks for
+// those that stand.
 func (d *Director) plan(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -181,10 +180,16 @@
 	if !settled && f.inherited {
 		return
 	}
+	if settled && !d.mayAct() {
+		d.log.Debug("no plan without a confirmed lead", "age", now()-d.authority)
+		return
+	}
 	f.partial = !settled
 	f.tracker.Update(tracker.ForgetMsg{Now: now(), After: forgetAfter})
 	moving, stalled := d.progress()
 	msg := placer.PlanMsg{Now: now(), Demand: d.demandNow(), Moving: moving, Stalled: stalled, Observe: !settled}
+	msg.Traffic = d.state.Traffic()
+	d.noteTraffic(ctx, len(msg.Demand) > 0)
 	for _, service := range d.config.Services {
 		if service.Engine != nil {
 			d.planService(ctx, service, msg)
@@ -193,15 +198,29 @@
 	d.publish()
 }
 
+// noteTraffic commits that clients are served, so that a later leader knows that
+// loads count before it has measured any demand; mu is held.
+func (d *Director) noteTraffic(ctx context.Context, served bool) {
+	if !served || d.state.Traffic() || now()-d.fleet.trafficAt < commandTimeout {
+		return
+	}
+	d.fleet.trafficAt = now()
+	d.beginLocked("traffic", func() {
+		if _, err := d.command(ctx, messenger.FleetCommand{Traffic: true}); err != nil {
+			d.log.Info("first traffic not noted yet", "err", err)
+		}
+	})
+}
+
 // planService makes the plan of one service and sends its orders; mu is held.
 func (d *Director) planService(ctx context.Context, service describer.Service, msg placer.PlanMsg) {
 	msg.Service = service.Name
 	msg.Engine = *service.Engine
 	p := d.fleet.placers[service.Name]
 	if p == nil {
-		p = placer.New(d.term, placer.WithBreakAfter(d.cfg.BreakAfter))
+		p = placer.New(d.term, d.placerOptions(service)...)
 		d.fleet.placers[service.Name] = p
-		msg.Known = slices.DeleteFunc(slices.Clone(d.fleet.groups), func(g messenger.GroupView) bool { return g.Service != service.Name })
+		msg.Known = slices.DeleteFunc(d.fleet.viewer.Groups(), func(g messenger.GroupView) bool { return g.Service != service.Name })
 	}
 	for _, e := range d.table().Endpoints() {
 		if e.View.Service == service.Name {
@@ -217,6 +236,16 @@
 	}
 }
 
+// placerOptions are those of a new leader: an earlier one may have begun as many
+// loads as the store allows in a second; mu is held.
+func (d *Director) placerOptions(service describer.Service) []placer.Option {
+	options := []placer.Option{placer.WithBreakAfter(d.cfg.BreakAfter)}
+	if d.state.Traffic() {
+		options = append(options, placer.WithEarlierLoads(int(service.Engine.LoadsPerSec), now()))
+	}
+	return options
+}
+
 // settled reports whether this leader has read enough to plan; mu is held.
 func (d *Director) settled() bool {
 	f := &d.fleet
@@ -258,44 +287,73 @@
 	}
 }
 
-// sendOrder sends one order and reads the endpoint's state after it; mu is held.
+// sendOrder sends one order, unless the lead has ended meanwhile; mu is held.
 func (d *Director) sendOrder(ctx context.Context, order placer.Order) {
 	e, ok := d.table().Endpoint(order.Instance)
 	if !ok || e.View.Born != order.Born {
 		return
 	}
 	d.fleet.token++
-	token := d.term*placer.EpochsPerTerm + d.fleet.token
+	term, token := d.term, d.term*placer.EpochsPerTerm+d.fleet.token
 	d.beginLocked("order", func() {
+		d.orders <- struct{}{}
+		defer func() { <-d.orders }()
+		if !d.actsIn(term) {
+			d.log.Info("order withheld", "endpoint", order.Instance, "op", order.Op, "group", order.Group, "token", token, "reason", "the lead is not confirmed")
+			return
+		}
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		begun, err := d.endpoints.Order(call, e.View, order, token)
-		if begun {
-			d.noteBegun(e.View)
-		}
-		metrics.GetOrCreateCounter(fmt.Sprintf(`papayaseam_orders_total{op=%q}`, order.Op)).Inc()
+		d.noteOrder(e.View, order, begun, err)
 		d.log.Info("order", "endpoint", order.Instance, "op", order.Op, "group", order.Group, "model", order.Model, "token", token, "err", err)
-		if err != nil && order.Op == placer.OpStage {
-			d.unstage(e.View.Service, order.Instance)
+		if !begun {
+			// An order that begins something is followed by an announcement.
+			d.pollOne(ctx, e.View, reportTimeout)
 		}
-		d.pollOne(ctx, e.View, reportTimeout)
 	})
 }
 
-func (d *Director) noteBegun(view messenger.EndpointView) {
+// actsIn reports whether this process may act as the leader of a term.
+func (d *Director) actsIn(term int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table().Update(tracker.BegunMsg{Now: now(), ID: view.Instance, Born: view.Born})
+	return d.term == term && d.mayAct()
 }
 
-func (d *Director) unstage(service, instance string) {
+// noteOrder changes what is believed of an endpoint by how it took an order.
+func (d *Director) noteOrder(view messenger.EndpointView, order placer.Order, begun bool, err error) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`papayaseam_orders_total{op=%q,result=%q}`, order.Op, resultOf(begun, err))).Inc()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if p := d.fleet.placers[service]; p != nil {
-		p.Unstage(instance)
+	if begun {
+		d.table().Update(tracker.BegunMsg{Now: now(), ID: view.Instance, Born: view.Born})
+	}
+	p := d.fleet.placers[view.Service]
+	switch {
+	case err == nil || p == nil:
+	case order.Op == placer.OpStage:
+		p.Unstage(order.Instance)
+	case errors.Is(err, ErrSuperseded):
+		p.Refuse(order.Group)
 	}
 }
 
+// resultOf is the class of an order's outcome in metrics.
+func resultOf(begun bool, err error) string {
+	switch {
+	case begun:
+		return "begun"
+	case err == nil:
+		return "holds"
+	case errors.Is(err, ErrSuperseded):
+		return "superseded"
+	case errors.Is(err, ErrEnded):
+		return "ended"
+	}
+	return "failed"
+}
+
 // demandNow returns the instances that the measured work of each model keeps
 // busy; empty before there is any. mu is held.
 func (d *Director) demandNow() map[string]float64 {
@@ -329,18 +387,23 @@
 func (d *Director) progress() (moving, stalled map[string]bool) {
 	moving, stalled = map[string]bool{}, map[string]bool{}
 	open, quiet := map[string]int{}, map[string]int{}
-	for _, state := range d.fleet.entries {
-		age := int((now() - state.at) / time.Millisecond)
-		if age > int(sightingLife/time.Millisecond) {
-			continue
+	add := func(at time.Duration, sightings []messenger.Sighting) {
+		if now()-at > sightingLife {
+			return
 		}
-		for _, s := range state.sightings {
+		for _, s := range sightings {
 			if least, ok := quiet[s.Instance]; !ok || s.QuietMs < least {
 				quiet[s.Instance] = s.QuietMs
 			}
 			open[s.Instance] += s.Open
 		}
 	}
+	for _, state := range d.fleet.entries {
+		add(state.at, state.sightings)
+	}
+	for _, relay := range d.fleet.relays {
+		add(relay.at, relay.sightings)
+	}
 	for head, ms := range quiet {
 		moving[head] = ms < int(movingWithin/time.Millisecond)
 		stalled[head] = open[head] >= stalledStreams && ms > int(stalledAfter/time.Millisecond)
@@ -348,24 +411,21 @@
 	return moving, stalled
 }
 
-// liveEntries counts the entries that asked of late; mu is held.
+// liveEntries counts the entries that asked any control process of late; mu is
+// held.
 func (d *Director) liveEntries() int {
-	n := 0
-	for _, state := range d.fleet.entries {
+	live := map[string]bool{}
+	for name, state := range d.fleet.entries {
 		if now()-state.at < entryLife {
-			n++
+			live[name] = true
 		}
 	}
-	return n
-}
-
-// controlAddresses returns where control processes are reached; mu is held.
-func (d *Director) controlAddresses() []string {
-	list := []string{d.cfg.Address}
-	for _, voter := range d.voters {
-		if address := enroller.AddressOf(voter); !slices.Contains(list, address) {
-			list = append(list, address)
+	for _, relay := range d.fleet.relays {
+		if now()-relay.at < entryLife {
+			for _, name := range relay.entries {
+				live[name] = true
+			}
 		}
 	}
-	return list
+	return len(live)
 }
--- a/internal/director/poll.go
+++ b/internal/director/poll.go
@@ -6,6 +6,7 @@
 
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/placer"
+	"papayaseam/internal/prober"
 	"papayaseam/internal/tracker"
 
 	"github.com/cockroachdb/errors"
@@ -14,16 +15,6 @@
 const (
 	orderTimeout  = 900 * time.Millisecond
 	reportTimeout = 300 * time.Millisecond
-	// urgentTimeout is for members of a group that stands still.
-	urgentTimeout = 150 * time.Millisecond
-	// pollBusy is the pace for groups that change.
-	pollBusy = 60 * time.Millisecond
-	// pollUrgent is the pace for members of a group that stands still.
-	pollUrgent = 50 * time.Millisecond
-	// pollHead is the pace for the load of heads that serve.
-	pollHead = 200 * time.Millisecond
-	// pollIdle is the pace for all other engines.
-	pollIdle = 500 * time.Millisecond
 )
 
 // poll reads the state of all engines that are due.
@@ -34,53 +25,47 @@
 		return
 	}
 	_, stalled := d.progress()
-	paces := d.paces(stalled)
-	for _, e := range d.table().Endpoints() {
-		service, ok := d.config.Service(e.View.Service)
-		id := e.View.Instance
-		if !ok || service.Engine == nil || e.Refused || d.fleet.inFlight[id] {
-			continue
-		}
-		pace, ok := paces[id]
-		if !ok {
-			pace = pollIdle
-		}
-		if now()-d.fleet.polling[id] < pace {
-			continue
-		}
-		d.fleet.polling[id] = now()
-		timeout := reportTimeout
-		if pace == pollUrgent {
-			timeout = urgentTimeout
-		}
-		d.fleet.inFlight[id] = true
+	p := d.fleet.prober
+	for _, probe := range p.Update(prober.TickMsg{Now: now(), Endpoints: d.engines(), Roles: d.roles(stalled)}) {
+		view := probe.Endpoint.View
 		d.beginLocked("report", func() {
-			d.pollOne(ctx, e.View, timeout)
+			d.pollOne(ctx, view, probe.Timeout)
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			delete(d.fleet.inFlight, id)
+			p.Update(prober.EndedMsg{ID: view.Instance})
 		})
 	}
 }
 
-// paces returns how often the members of groups are read; mu is held.
-func (d *Director) paces(stalled map[string]bool) map[string]time.Duration {
-	paces := map[string]time.Duration{}
+// engines returns the endpoints of services that form groups; mu is held.
+func (d *Director) engines() []tracker.Endpoint {
+	var list []tracker.Endpoint
+	for _, e := range d.table().Endpoints() {
+		if service, ok := d.config.Service(e.View.Service); ok && service.Engine != nil {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// roles returns what the members of groups do; mu is held.
+func (d *Director) roles(stalled map[string]bool) map[string]prober.Role {
+	roles := map[string]prober.Role{}
 	for _, p := range d.fleet.placers {
 		for _, g := range p.Groups() {
 			for i, m := range g.Members {
 				switch {
 				case stalled[g.Head().Instance]:
-					paces[m.Instance] = pollUrgent
+					roles[m.Instance] = prober.Urgent
 				case g.State != placer.Open:
-					paces[m.Instance] = pollBusy
+					roles[m.Instance] = prober.Busy
 				case i == 0:
-					paces[m.Instance] = pollHead
+					roles[m.Instance] = prober.Head
 				}
 			}
 		}
 	}
-	return paces
+	return roles
 }
 
 func (d *Director) pollOne(ctx context.Context, view messenger.EndpointView, timeout time.Duration) {
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -162,9 +162,7 @@
 	case replicator.ConfirmEffect:
 		d.answer(effect.ID, result{})
 	case replicator.ApplyEffect:
-		for _, entry := range effect.Entries {
-			d.apply(entry)
-		}
+		d.applyAll(effect.Entries)
 		d.noteVoters()
 	case replicator.RestoreEffect:
 		d.noteVoters()
@@ -196,12 +194,28 @@
 	return nil
 }
 
-// apply hands a committed entry to the state and answers who waits for it.
-func (d *Director) apply(entry messenger.Entry) {
-	r := result{}
-	if entry.Kind == replicator.EntryCommand {
-		r.changed = d.applyCommand(entry)
+// applyAll hands committed entries to the state, then answers who waits for
+// them. Of several configurations only the newest is decoded.
+func (d *Director) applyAll(entries []messenger.Entry) {
+	results := make([]result, len(entries))
+	d.mu.Lock()
+	before, _ := d.state.Document()
+	for i, entry := range entries {
+		if entry.Kind == replicator.EntryCommand {
+			results[i].changed = d.applyCommand(entry)
+		}
+	}
+	if after, _ := d.state.Document(); after != before {
+		d.readDocument()
 	}
+	d.mu.Unlock()
+	for i, entry := range entries {
+		d.answerApplied(entry, results[i])
+	}
+}
+
+// answerApplied answers who waits for an entry.
+func (d *Director) answerApplied(entry messenger.Entry, r result) {
 	w, ok := d.waiters[entry.Index]
 	if !ok {
 		return
@@ -213,18 +227,14 @@
 	w.result <- r
 }
 
+// applyCommand hands one command to the state; mu is held.
 func (d *Director) applyCommand(entry messenger.Entry) bool {
 	var command messenger.FleetCommand
 	if err := json.Unmarshal(entry.Data, &command); err != nil {
 		d.log.Error("entry skipped", "index", entry.Index, "err", err)
 		return false
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	changed := d.state.Update(cataloguer.CommandMsg{Command: command})
-	if changed && command.Document != "" {
-		d.readDocument()
-	}
 	if d.leading {
 		d.noteCommitted(command)
 	}
@@ -372,21 +382,19 @@
 	return d.propose(ctx, func(id uint64) replicator.Msg { return replicator.ProposeMsg{ID: id, Data: data} })
 }
 
-// confirm returns once a quorum has confirmed the leadership of this process.
-func (d *Director) confirm(ctx context.Context) error {
-	waiting := make(chan result, 1)
-	_, err := d.await(ctx, readMsg{result: waiting}, waiting)
-	return err
-}
-
 // send queues a message for a peer; a full queue drops it, which the log
-// tolerates.
+// tolerates. Heartbeats and votes never wait behind entries: they have a queue
+// and a connection of their own.
 func (d *Director) send(ctx context.Context, message messenger.ReplicaMessage) {
-	queue, ok := d.peers[message.To]
+	lane := message.To
+	if sizeOf(message) > 0 {
+		lane = "entries " + lane
+	}
+	queue, ok := d.peers[lane]
 	if !ok {
 		queue = make(chan messenger.ReplicaMessage, peerQueue)
-		d.peers[message.To] = queue
-		d.begin(message.To, func() { d.sendTo(ctx, message.To, queue) })
+		d.peers[lane] = queue
+		d.begin(lane, func() { d.sendTo(ctx, message.To, queue) })
 	}
 	select {
 	case queue <- message:
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -6,11 +6,14 @@
 	"net/http"
 	"time"
 
+	"papayaseam/internal/cataloguer"
 	"papayaseam/internal/describer"
+	"papayaseam/internal/enroller"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/packer"
 	"papayaseam/internal/tracker"
 	"papayaseam/internal/transporter"
+	"papayaseam/internal/viewer"
 
 	"github.com/cockroachdb/errors"
 )
@@ -20,44 +23,59 @@
 	transporter.Handle(mux, "POST /fleet/replicate", d.receive)
 	transporter.Handle(mux, "POST /fleet/join", d.join)
 	transporter.Handle(mux, "POST /fleet/sync", d.Sync)
+	transporter.Handle(mux, "POST /fleet/follow", d.lead)
+	transporter.Handle(mux, "POST /fleet/digest", d.digest)
 	transporter.Handle(mux, "POST /fleet/announce", d.announce)
 	transporter.Handle(mux, "POST /fleet/document", d.document)
 }
 
-// Sync answers what a process lacks of the configuration and the fleet, at once
-// when there is something, else after the asked wait. The answer is confirmed
-// by a quorum after the request arrived, or says that it is not.
+// Sync answers what an entry lacks of the configuration and the fleet, at once
+// when there is something, else after the asked wait. Any control process
+// answers it. The answer is confirmed by a quorum after the request arrived, or
+// says that it is not; then it holds no configuration.
 func (d *Director) Sync(ctx context.Context, request messenger.FleetRequest) messenger.FleetResponse {
-	if _, leading := d.leaderAddress(); !leading {
-		request.Hops++
-		response, _ := relay[messenger.FleetResponse](ctx, d, "/fleet/sync", request.Hops, maxWait+commandTimeout, request)
-		return response
-	}
 	d.noteRequest(request)
 	d.wait(ctx, request)
-	if err := d.confirm(ctx); err != nil {
-		return messenger.FleetResponse{}
+	c, err := d.fresh(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	response := d.answerTo(request)
+	response.Confirmed = err == nil
+	response.Entries = c.Entries
+	if err != nil {
+		response.Document, response.Version = "", 0
+	}
+	return response
+}
+
+// lead answers what another control process lacks, if this one leads.
+func (d *Director) lead(ctx context.Context, request messenger.FleetRequest) messenger.FleetResponse {
+	if _, leading := d.leaderAddress(); leading {
+		d.wait(ctx, request)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.leading {
-		return messenger.FleetResponse{}
+		return messenger.FleetResponse{Leader: enroller.AddressOf(d.leader)}
 	}
-	f := &d.fleet
+	return d.answerTo(request)
+}
+
+// answerTo returns what an asker lacks; mu is held.
+func (d *Director) answerTo(request messenger.FleetRequest) messenger.FleetResponse {
 	version, document := d.state.Document()
-	response := messenger.FleetResponse{
-		Confirmed: true, Leader: d.cfg.Address, Controls: d.controlAddresses(), Entries: d.liveEntries(),
-		Version: version, Term: f.term, View: f.view, Groups: f.groups, Partial: f.partial,
-	}
+	changes := d.fleet.viewer.Since(positionOf(request))
+	response := messenger.FleetResponse{Leader: enroller.AddressOf(d.leader), Version: version, Changes: &changes}
 	if version > request.Version {
 		response.Document = document
 	}
-	if request.Term != f.term || request.View != f.view {
-		response.Endpoints = f.endpoints
-	}
 	return response
 }
 
+func positionOf(request messenger.FleetRequest) viewer.Position {
+	return viewer.Position{Term: request.Term, View: request.View, Loads: request.Loads}
+}
+
 // relay passes a call on to the leader. It reports false, with a zero answer,
 // where no leader is known or answers, or the call was passed on too often.
 func relay[Out any](ctx context.Context, d *Director, path string, hops int, timeout time.Duration, in any) (Out, bool) {
@@ -82,19 +100,18 @@
 		return
 	}
 	d.fleet.entries[request.Process] = entryState{at: now(), sightings: request.Sightings}
-	for _, report := range request.Demand {
-		d.fleet.demand.work[report.Model] += report.WorkMs
-	}
+	d.addDemand(request.Demand)
 }
 
 // wait returns when there is something new for the caller, or its wait is over.
 func (d *Director) wait(ctx context.Context, request messenger.FleetRequest) {
+	_, leads := d.leaderAddress()
 	timer := time.NewTimer(min(time.Duration(request.WaitMs)*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for {
 		d.mu.Lock()
 		version, _ := d.state.Document()
-		news := version > request.Version || d.fleet.view != request.View || d.fleet.term != request.Term || !d.leading
+		news := version > request.Version || d.fleet.viewer.News(positionOf(request)) || d.leading != leads
 		changed := d.fleet.changed
 		d.mu.Unlock()
 		if news {
@@ -140,14 +157,23 @@
 		targets = d.contacts()
 	}
 	d.mu.Lock()
-	request := messenger.FleetRequest{Version: noDocument, View: d.fleet.view, Term: d.fleet.syncedTerm, WaitMs: int(maxWait / time.Millisecond)}
+	known := d.fleet.viewer.Position()
+	request := messenger.FleetRequest{Version: noDocument, View: known.View, Loads: known.Loads, Term: known.Term, WaitMs: int(maxWait / time.Millisecond)}
+	if d.journal == nil {
+		request.Version, _ = d.state.Document()
+	}
 	d.mu.Unlock()
 	for _, target := range targets {
 		var response messenger.FleetResponse
 		call, cancel := context.WithTimeout(ctx, maxWait+commandTimeout)
-		err := d.client.Call(call, "http://"+target+"/fleet/sync", request, &response)
+		err := d.client.Call(call, "http://"+target+"/fleet/follow", request, &response)
 		cancel()
-		if err == nil && response.Confirmed {
+		if err != nil {
+			d.log.Debug("leader not followed", "target", target, "err", err)
+			continue
+		}
+		d.noteHint(target, response)
+		if response.Changes != nil {
 			d.takeView(response)
 			return true
 		}
@@ -156,39 +182,41 @@
 	return false
 }
 
+// noteHint lets a process without a vote learn who leads.
+func (d *Director) noteHint(target string, response messenger.FleetResponse) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.journal != nil || response.Leader == "" || response.Leader == d.cfg.Address {
+		return
+	}
+	if response.Changes != nil || response.Leader != target {
+		d.leader = "@" + response.Leader
+	}
+}
+
 // forgetLeader drops the leader at a process without a vote, which learns of
 // another one only by asking.
 func (d *Director) forgetLeader(leader string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.journal == nil && leader != "" {
+	if d.journal == nil && leader != "" && enroller.AddressOf(d.leader) == leader {
 		d.leader = ""
 	}
 }
 
-// take replaces the view by a leader's.
-func (f *fleet) take(response messenger.FleetResponse) {
-	if response.Term != f.syncedTerm || response.View != f.view {
-		f.endpoints = response.Endpoints
-	}
-	f.syncedTerm = response.Term
-	f.view = response.View
-	f.groups = response.Groups
-}
-
 func (d *Director) takeView(response messenger.FleetResponse) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.leading || response.Term < d.fleet.syncedTerm {
+	if d.leading {
 		return
 	}
-	f := &d.fleet
-	f.controls = response.Controls
-	if !response.Partial || len(f.groups) == 0 {
-		f.take(response)
+	if d.journal == nil && response.Document != "" {
+		if d.state.Update(cataloguer.CommandMsg{Command: messenger.FleetCommand{Version: response.Version, Document: response.Document}}) {
+			d.readDocument()
+		}
 	}
-	if d.journal == nil {
-		d.leader = "@" + response.Leader
+	if d.fleet.viewer.Update(viewer.TakeMsg{Changes: *response.Changes}) {
+		d.fleet.announce()
 	}
 }
 
@@ -200,14 +228,12 @@
 	if !answer.Taken {
 		return "", ErrNoLeader
 	}
-	return answer.Home, nil
+	return d.homeOf(*registration.Endpoint, answer.Home), nil
 }
 
 func (d *Director) announce(ctx context.Context, registration messenger.Registration) messenger.RegistrationAnswer {
 	if _, leading := d.leaderAddress(); !leading {
-		registration.Hops++
-		answer, _ := relay[messenger.RegistrationAnswer](ctx, d, "/fleet/announce", registration.Hops, commandTimeout, registration)
-		return answer
+		return d.passOn(ctx, registration)
 	}
 	if err := d.register(ctx, registration); err != nil {
 		d.log.Info("announcement not taken", "endpoint", registration.Endpoint.Instance, "err", err)
@@ -216,6 +242,26 @@
 	return messenger.RegistrationAnswer{Taken: true, Home: d.cfg.Home}
 }
 
+// passOn keeps an announcement without news for the next digest, and sends any
+// other one to the leader.
+func (d *Director) passOn(ctx context.Context, registration messenger.Registration) messenger.RegistrationAnswer {
+	if registration.Endpoint == nil {
+		return messenger.RegistrationAnswer{Message: "the announcement names no endpoint; send one"}
+	}
+	if d.collect(registration) {
+		return messenger.RegistrationAnswer{Taken: true}
+	}
+	d.mu.Lock()
+	leader := d.leader
+	d.mu.Unlock()
+	registration.Hops++
+	answer, _ := relay[messenger.RegistrationAnswer](ctx, d, "/fleet/announce", registration.Hops, commandTimeout, registration)
+	if answer.Taken {
+		d.noteTaken(leader, registration)
+	}
+	return answer
+}
+
 // register notes an announcement at the leader. That an endpoint leaves is
 // committed before it is acknowledged, so that no later leader forgets it.
 func (d *Director) register(ctx context.Context, registration messenger.Registration) error {
@@ -313,14 +359,14 @@
 // document commits a declared configuration, or reads the newest one where the
 // request holds none.
 func (d *Director) document(ctx context.Context, request messenger.DocumentRequest) messenger.DocumentAnswer {
+	if request.Document == "" {
+		return d.readNewest(ctx)
+	}
 	if _, leading := d.leaderAddress(); !leading {
 		request.Hops++
 		answer, _ := relay[messenger.DocumentAnswer](ctx, d, "/fleet/document", request.Hops, commandTimeout, request)
 		return answer
 	}
-	if request.Document == "" {
-		return d.readNewest(ctx)
-	}
 	if d.overtaken(request.Version) {
 		err := d.confirm(ctx)
 		return messenger.DocumentAnswer{Accepted: err == nil, Version: request.Version}
--- a/internal/director/traffic_test.go
+++ b/internal/director/traffic_test.go
@@ -41,13 +41,13 @@
 	var asked messenger.FleetRequest
 	leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_ = json.NewDecoder(r.Body).Decode(&asked)
-		_ = json.NewEncoder(w).Encode(c.leader().director.Sync(r.Context(), asked))
+		_ = json.NewEncoder(w).Encode(c.leader().director.lead(r.Context(), asked))
 	}))
 	defer leader.Close()
 	follower := c.other(c.leader()).director
 	assert.Assert(t, follower.followOnce(context.Background(), strings.TrimPrefix(leader.URL, "http://")))
 	assert.Equal(t, asked.Version, noDocument)
-	assert.Equal(t, c.leader().director.Sync(context.Background(), asked).Document, "")
+	assert.Equal(t, c.leader().director.lead(context.Background(), asked).Document, "")
 }
 
 func TestCallsToAPeerAreBoundedByBytes(t *testing.T) {
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -26,6 +26,7 @@
 	"papayaseam/internal/throttler"
 	"papayaseam/internal/timekeeper"
 	"papayaseam/internal/transporter"
+	"papayaseam/internal/viewer"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
@@ -119,7 +120,6 @@
 
 	mu        sync.Mutex
 	seeds     []string
-	controls  []string
 	leader    string
 	chooser   *chooser.Chooser
 	throttle  *throttler.Throttler
@@ -128,8 +128,7 @@
 	streams   map[*stream]struct{}
 	seen      map[string]*sight
 	demand    map[demandKey]float64
-	term      int
-	view      int
+	viewer    *viewer.Viewer
 	fleet     chooser.FleetMsg
 }
 
@@ -150,7 +149,7 @@
 		inner:   transporter.NewClient(transporter.WithDialTimeout(innerDialTimeout)),
 		bodies:  transporter.NewPool(heldBytes),
 		chooser: chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name))), budget: retrier.New(cfg.RetryRatio*retryShare, retryMost),
-		throttle: throttler.New(), returners: newReturners(), streams: map[*stream]struct{}{}, seen: map[string]*sight{}, demand: map[demandKey]float64{},
+		throttle: throttler.New(), returners: newReturners(), streams: map[*stream]struct{}{}, seen: map[string]*sight{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
 	}
 }
 
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -103,7 +103,7 @@
 }
 
 func newSystem(t *testing.T, lease time.Duration) *system {
-	s := &system{t: t}
+	s := &system{t: t, response: messenger.FleetResponse{Changes: &messenger.FleetChanges{Whole: true}}}
 	control := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -146,11 +146,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	view := messenger.EndpointView{Instance: id, Born: 1, Address: strings.TrimPrefix(e.server.URL, "http://"), Service: service, Slots: 8}
-	s.response.Endpoints = append(s.response.Endpoints, view)
+	s.response.Changes.Endpoints = append(s.response.Changes.Endpoints, view)
 	if service == "writers" {
-		s.response.Groups = append(s.response.Groups, messenger.GroupView{Name: "g" + id, Epoch: 1, Service: service, Model: "m", Members: []string{id}, Open: true})
+		s.response.Changes.Groups = append(s.response.Changes.Groups, messenger.GroupView{Name: "g" + id, Epoch: 1, Service: service, Model: "m", Members: []string{id}, Open: true})
 	}
-	s.response.View++
+	s.response.Changes.View++
 	return e
 }
 
@@ -159,7 +159,7 @@
 	packed, err := packer.Pack([]byte("3"))
 	assert.NilError(s.t, err)
 	s.mu.Lock()
-	s.response.Confirmed, s.response.Version, s.response.Document, s.response.Term = true, 3, packed, 1
+	s.response.Confirmed, s.response.Version, s.response.Document, s.response.Changes.Term = true, 3, packed, 1
 	s.mu.Unlock()
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
 		if s.entry.Ready() {
@@ -489,9 +489,9 @@
 		return poll.Continue("no attempt yet")
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
 	s.mu.Lock()
-	s.response.Groups[first].Open = false
-	s.response.Groups[first].Broken = true
-	s.response.View++
+	s.response.Changes.Groups[first].Open = false
+	s.response.Changes.Groups[first].Broken = true
+	s.response.Changes.View++
 	s.mu.Unlock()
 	assert.Equal(t, <-done, wholeStream(6))
 }
@@ -512,10 +512,10 @@
 	}()
 	until(t, func() bool { return e.count() > 0 })
 	s.mu.Lock()
-	endpoints, groups := s.response.Endpoints, s.response.Groups
-	s.response.Endpoints, s.response.Groups = nil, nil
-	s.response.Partial = true
-	s.response.Term++
+	endpoints, groups := s.response.Changes.Endpoints, s.response.Changes.Groups
+	s.response.Changes.Endpoints, s.response.Changes.Groups = nil, nil
+	s.response.Changes.Partial = true
+	s.response.Changes.Term++
 	s.mu.Unlock()
 	seen := s.asked()
 	until(t, func() bool { return s.asked() > seen+1 })
@@ -525,9 +525,9 @@
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	s.mu.Lock()
-	s.response.Endpoints, s.response.Groups = endpoints, groups[:0]
-	s.response.Partial = false
-	s.response.View++
+	s.response.Changes.Endpoints, s.response.Changes.Groups = endpoints, groups[:0]
+	s.response.Changes.Partial = false
+	s.response.Changes.View++
 	s.mu.Unlock()
 	seen = s.asked()
 	until(t, func() bool { return s.asked() > seen+1 })
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -10,13 +10,17 @@
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/packer"
 	"papayaseam/internal/timekeeper"
+	"papayaseam/internal/viewer"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// syncWait is how long control may hold an answer back.
 	syncWait = 150 * time.Millisecond
-	// syncTimeout is above the wait, a confirmation and a slow machine.
-	syncTimeout = 1200 * time.Millisecond
+	// syncTimeout is above the wait, a confirmation through the leader and a slow
+	// machine.
+	syncTimeout = 900 * time.Millisecond
 	syncPause   = 30 * time.Millisecond
 	retryPause  = 120 * time.Millisecond
 )
@@ -36,11 +40,23 @@
 	return nil
 }
 
-// targets returns the control processes to ask, the leader first.
+// targets returns the control processes to ask: those of the own failure domain
+// that do not lead, each entry another one first, then the leader and all others.
 func (g *Gatekeeper) targets() []string {
+	var near, far []string
+	for _, c := range g.viewer.Controls() {
+		if c.FailureDomain == g.cfg.FailureDomain && c.Address != g.leader {
+			near = append(near, c.Address)
+		} else {
+			far = append(far, c.Address)
+		}
+	}
+	if n := len(near); n > 0 {
+		first := int(xxhash.Sum64String(g.cfg.Name) % uint64(n))
+		near = slices.Concat(near[first:], near[:first])
+	}
 	var list []string
-	all := append([]string{g.leader}, g.controls...)
-	for _, address := range append(all, g.seeds...) {
+	for _, address := range slices.Concat(near, []string{g.leader}, far, g.seeds) {
 		if address != "" && !slices.Contains(list, address) {
 			list = append(list, address)
 		}
@@ -54,13 +70,16 @@
 	g.mu.Lock()
 	targets := g.targets()
 	began := timekeeper.Now()
+	known := g.viewer.Position()
 	request := messenger.FleetRequest{
-		Process: g.cfg.Name, View: g.view, Term: g.term, WaitMs: int(syncWait / time.Millisecond),
+		Process: g.cfg.Name, View: known.View, Loads: known.Loads, Term: known.Term, WaitMs: int(syncWait / time.Millisecond),
 		Sightings: g.sightings(began), Demand: g.takeDemand(),
 	}
 	g.mu.Unlock()
 	if s := g.current.Load(); s != nil {
 		request.Version = s.config.Version
+	} else {
+		request.WaitMs = 0
 	}
 	for _, target := range targets {
 		var response messenger.FleetResponse
@@ -68,6 +87,10 @@
 		call, cancel := context.WithTimeout(ctx, syncTimeout)
 		err := g.inner.Call(call, "http://"+target+"/fleet/sync", request, &response)
 		cancel()
+		if err == nil {
+			request.Demand = nil
+			g.takeFleet(response)
+		}
 		if err == nil && response.Confirmed && g.take(response, began) {
 			return true
 		}
@@ -109,7 +132,6 @@
 	if next.config != nil && next.config.Version >= response.Version {
 		g.current.Store(next)
 	}
-	g.takeFleet(response)
 	return true
 }
 
@@ -121,49 +143,32 @@
 	return g.cfg.Decode(document)
 }
 
+// takeFleet takes what changed in the fleet, which needs no confirmation: an old
+// view names at worst endpoints that refuse.
 func (g *Gatekeeper) takeFleet(response messenger.FleetResponse) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.leader = response.Leader
-	g.controls = response.Controls
-	if response.Term < g.term {
-		return
+	if response.Entries > 0 {
+		g.fleet.Entries = response.Entries
 	}
-	if response.Partial {
-		response.Endpoints = unnamed(response.Endpoints, g.fleet.Endpoints, instanceOf)
-		response.Groups = unnamed(response.Groups, g.fleet.Groups, nameOf)
+	if response.Changes == nil {
+		return
 	}
-	if response.Partial || response.Term != g.term || response.View != g.view {
-		g.fleet.Endpoints = response.Endpoints
+	before := g.viewer.Position()
+	g.viewer.Update(viewer.TakeMsg{Changes: *response.Changes})
+	after := g.viewer.Position()
+	if after != before {
+		g.fleet.Endpoints = g.viewer.Endpoints()
+		g.fleet.Groups = g.viewer.Groups()
 	}
-	g.term = response.Term
-	g.view = response.View
-	g.fleet.Groups = response.Groups
-	g.fleet.Entries = response.Entries
 	g.fleet.Now = timekeeper.Now()
 	g.chooser.Update(g.fleet)
-	g.cutLost()
-}
-
-// unnamed adds to a list what only an earlier one names.
-func unnamed[T any](list, earlier []T, name func(T) string) []T {
-	named := map[string]bool{}
-	for _, item := range list {
-		named[name(item)] = true
-	}
-	list = slices.Clone(list)
-	for _, item := range earlier {
-		if !named[name(item)] {
-			list = append(list, item)
-		}
+	if after.Term != before.Term || after.View != before.View {
+		g.cutLost()
 	}
-	return list
 }
 
-func instanceOf(view messenger.EndpointView) string { return view.Instance }
-
-func nameOf(view messenger.GroupView) string { return view.Name }
-
 // cutLost ends the attempts at groups that have lost a member, so that their
 // streams go on elsewhere; mu is held.
 func (g *Gatekeeper) cutLost() {
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -2,6 +2,37 @@
 
 package messenger
 
+// The answer to a digest. It is confirmed where a quorum did so after the digest
+// arrived.
+type Confirmation struct {
+	// Confirmed corresponds to the JSON schema field "confirmed".
+	Confirmed bool `json:"confirmed,omitempty,omitzero"`
+
+	// Entries corresponds to the JSON schema field "entries".
+	Entries int `json:"entries,omitempty,omitzero"`
+
+	// Leader corresponds to the JSON schema field "leader".
+	Leader string `json:"leader,omitempty,omitzero"`
+
+	// Endpoints that must announce themselves in full.
+	Unknown []string `json:"unknown,omitempty,omitzero"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version,omitempty,omitzero"`
+}
+
+// One control process and where it is reached.
+type ControlView struct {
+	// The inner address.
+	Address string `json:"address,omitempty,omitzero"`
+
+	// FailureDomain corresponds to the JSON schema field "failure-domain".
+	FailureDomain string `json:"failure-domain,omitempty,omitzero"`
+
+	// Where endpoints call it.
+	Home string `json:"home,omitempty,omitzero"`
+}
+
 // The work that clients asked of one model since the last report.
 type DemandReport struct {
 	// Model corresponds to the JSON schema field "model".
@@ -23,6 +54,25 @@
 	Instance string `json:"instance,omitempty,omitzero"`
 }
 
+// What a control process has heard from entries and endpoints since its last
+// digest, and its question for a confirmation.
+type Digest struct {
+	// Alive corresponds to the JSON schema field "alive".
+	Alive []Liveness `json:"alive,omitempty,omitzero"`
+
+	// Control corresponds to the JSON schema field "control".
+	Control *ControlView `json:"control,omitempty,omitzero"`
+
+	// Demand corresponds to the JSON schema field "demand".
+	Demand []DemandReport `json:"demand,omitempty,omitzero"`
+
+	// Entries corresponds to the JSON schema field "entries".
+	Entries []string `json:"entries,omitempty,omitzero"`
+
+	// Sightings corresponds to the JSON schema field "sightings".
+	Sightings []Sighting `json:"sightings,omitempty,omitzero"`
+}
+
 // The answer to a declaration or a read.
 type DocumentAnswer struct {
 	// Accepted corresponds to the JSON schema field "accepted".
@@ -125,6 +175,44 @@
 	Slots int `json:"slots,omitempty,omitzero"`
 }
 
+// What changed in the view of the fleet since the revisions that the asker named,
+// or the whole view.
+type FleetChanges struct {
+	// Controls corresponds to the JSON schema field "controls".
+	Controls []ControlView `json:"controls,omitempty,omitzero"`
+
+	// Endpoints corresponds to the JSON schema field "endpoints".
+	Endpoints []EndpointView `json:"endpoints,omitempty,omitzero"`
+
+	// GoneEndpoints corresponds to the JSON schema field "gone-endpoints".
+	GoneEndpoints []string `json:"gone-endpoints,omitempty,omitzero"`
+
+	// GoneGroups corresponds to the JSON schema field "gone-groups".
+	GoneGroups []string `json:"gone-groups,omitempty,omitzero"`
+
+	// Groups corresponds to the JSON schema field "groups".
+	Groups []GroupView `json:"groups,omitempty,omitzero"`
+
+	// HeadLoads corresponds to the JSON schema field "head-loads".
+	HeadLoads []HeadLoad `json:"head-loads,omitempty,omitzero"`
+
+	// The revision of the groups' loads.
+	Loads int `json:"loads,omitempty,omitzero"`
+
+	// The leader has not heard all endpoints yet; groups that are not named may
+	// stand.
+	Partial bool `json:"partial,omitempty,omitzero"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term,omitempty,omitzero"`
+
+	// The revision of endpoints
+	View int `json:"view,omitempty,omitzero"`
+
+	// Whole corresponds to the JSON schema field "whole".
+	Whole bool `json:"whole,omitempty,omitzero"`
+}
+
 // One entry of the control log of the fleet.
 type FleetCommand struct {
 	// Departure corresponds to the JSON schema field "departure".
@@ -136,6 +224,9 @@
 	// Endpoint corresponds to the JSON schema field "endpoint".
 	Endpoint *EndpointView `json:"endpoint,omitempty,omitzero"`
 
+	// Clients are served from here on.
+	Traffic bool `json:"traffic,omitempty,omitzero"`
+
 	// Version corresponds to the JSON schema field "version".
 	Version int `json:"version,omitempty,omitzero"`
 }
@@ -145,8 +236,8 @@
 	// Demand corresponds to the JSON schema field "demand".
 	Demand []DemandReport `json:"demand,omitempty,omitzero"`
 
-	// Hops corresponds to the JSON schema field "hops".
-	Hops int `json:"hops,omitempty,omitzero"`
+	// Loads corresponds to the JSON schema field "loads".
+	Loads int `json:"loads,omitempty,omitzero"`
 
 	// Process corresponds to the JSON schema field "process".
 	Process string `json:"process,omitempty,omitzero"`
@@ -167,41 +258,25 @@
 	WaitMs int `json:"wait-ms,omitempty,omitzero"`
 }
 
-// The answer, confirmed by a quorum after the request arrived.
+// The answer. It is confirmed where a quorum did so after the request arrived.
 type FleetResponse struct {
+	// Changes corresponds to the JSON schema field "changes".
+	Changes *FleetChanges `json:"changes,omitempty,omitzero"`
+
 	// Confirmed corresponds to the JSON schema field "confirmed".
 	Confirmed bool `json:"confirmed,omitempty,omitzero"`
 
-	// Controls corresponds to the JSON schema field "controls".
-	Controls []string `json:"controls,omitempty,omitzero"`
-
 	// The packed document.
 	Document string `json:"document,omitempty,omitzero"`
 
-	// Endpoints corresponds to the JSON schema field "endpoints".
-	Endpoints []EndpointView `json:"endpoints,omitempty,omitzero"`
-
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
-	// Groups corresponds to the JSON schema field "groups".
-	Groups []GroupView `json:"groups,omitempty,omitzero"`
-
 	// Leader corresponds to the JSON schema field "leader".
 	Leader string `json:"leader,omitempty,omitzero"`
 
-	// The leader has not heard all endpoints yet; groups that are not named may
-	// stand.
-	Partial bool `json:"partial,omitempty,omitzero"`
-
-	// Term corresponds to the JSON schema field "term".
-	Term int `json:"term,omitempty,omitzero"`
-
 	// Version corresponds to the JSON schema field "version".
 	Version int `json:"version,omitempty,omitzero"`
-
-	// View corresponds to the JSON schema field "view".
-	View int `json:"view,omitempty,omitzero"`
 }
 
 // The whole state behind the control log of the fleet.
@@ -215,6 +290,9 @@
 	// Endpoints corresponds to the JSON schema field "endpoints".
 	Endpoints []EndpointView `json:"endpoints,omitempty,omitzero"`
 
+	// Traffic corresponds to the JSON schema field "traffic".
+	Traffic bool `json:"traffic,omitempty,omitzero"`
+
 	// Version corresponds to the JSON schema field "version".
 	Version int `json:"version,omitempty,omitzero"`
 }
@@ -255,6 +333,21 @@
 	Service string `json:"service,omitempty,omitzero"`
 }
 
+// The load that the head of a group last reported.
+type HeadLoad struct {
+	// Active corresponds to the JSON schema field "active".
+	Active int `json:"active,omitempty,omitzero"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name,omitempty,omitzero"`
+
+	// Pace corresponds to the JSON schema field "pace".
+	Pace float64 `json:"pace,omitempty,omitzero"`
+
+	// Queued corresponds to the JSON schema field "queued".
+	Queued int `json:"queued,omitempty,omitzero"`
+}
+
 // The voters after a request to join, and who else serves control.
 type JoinAnswer struct {
 	// Accepted corresponds to the JSON schema field "accepted".
@@ -276,6 +369,18 @@
 	Replica string `json:"replica,omitempty,omitzero"`
 }
 
+// One boot of an endpoint that announced itself anew without a change.
+type Liveness struct {
+	// Born corresponds to the JSON schema field "born".
+	Born int `json:"born,omitempty,omitzero"`
+
+	// Instance corresponds to the JSON schema field "instance".
+	Instance string `json:"instance,omitempty,omitzero"`
+
+	// Sequence corresponds to the JSON schema field "sequence".
+	Sequence int `json:"sequence,omitempty,omitzero"`
+}
+
 // What an endpoint says of itself, passed on between control processes.
 type Registration struct {
 	// Endpoint corresponds to the JSON schema field "endpoint".
--- a/internal/placer/adopt.go
+++ b/internal/placer/adopt.go
@@ -70,6 +70,7 @@
 	case whole && head.Report.State == MemberOpen:
 	case whole && head.Report.State != MemberClosing:
 		g.State = Forming
+		g.due = p.msg.Now + formFactor*(declared.Load+formSlack)
 	default:
 		g.State = Closing
 		g.Cutover = true
--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -147,6 +147,7 @@
 		if !e.alive || e.cut {
 			seen.Seen = w.now - time.Hour
 			seen.Failing = w.now - time.Hour
+			seen.Misses = leastMisses
 		}
 		msg.Endpoints = append(msg.Endpoints, seen)
 	}
@@ -225,7 +226,11 @@
 // carryOut lets an engine obey an order, unless its fences refuse it.
 func (w *world) carryOut(o Order, token int) {
 	e := w.engine(o.Instance)
-	if e == nil || !e.alive || e.cut || e.view.Born != o.Born || token < e.fence {
+	if e == nil || !e.alive || e.cut || e.view.Born != o.Born {
+		return
+	}
+	if token < e.fence || (o.Op == OpJoin && o.Epoch < e.epoch) {
+		w.placer.Refuse(o.Group)
 		return
 	}
 	e.fence = token
--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 func (p *Placer) enter(g *Group, state State, reason string) {
 	g.State = state
@@ -40,8 +43,36 @@
 	p.orders = append(p.orders, order)
 }
 
-// form orders the members to join until all are ready.
+// refusalsBorne is how many refused orders a group may have: one can be
+// overtaken on its way by a later one of this leader.
+const refusalsBorne = 1
+
+// Refuse tells that a member refused an order of a group since it has seen a
+// newer epoch or token: the belief that formed the group is wrong.
+func (p *Placer) Refuse(group string) {
+	if g := p.groups[group]; g != nil {
+		g.refused++
+	}
+}
+
+// hopeless returns why a group that forms is given up, or an empty string.
+func (p *Placer) hopeless(g *Group) string {
+	switch {
+	case g.refused > refusalsBorne:
+		return "its members have seen newer orders"
+	case g.due != 0 && p.msg.Now > g.due:
+		return "it did not form in time"
+	}
+	return ""
+}
+
+// form orders the members to join until all are ready. The members of an
+// adopted group have joined it before, or never will.
 func (p *Placer) form(g *Group) {
+	if reason := p.hopeless(g); reason != "" {
+		p.abandon(g, reason)
+		return
+	}
 	ready := 0
 	for _, m := range g.Members {
 		if h := p.health(m); h != sound {
@@ -50,6 +81,9 @@
 		}
 		e := p.byID[m.Instance]
 		switch {
+		case !p.inGroup(g, m) && g.adopted:
+			p.abandon(g, "member "+m.Instance+" is in another group")
+			return
 		case !p.inGroup(g, m):
 			p.order(g, m, Order{Op: OpJoin, Model: g.Model, Members: names(g.Members)})
 		case e.Report.State == MemberReady || e.Report.State == MemberOpen:
@@ -77,8 +111,8 @@
 
 // open orders the head to serve, as long as all members stay ready.
 func (p *Placer) open(g *Group) {
-	if p.lost(g) != "" {
-		p.startClose(g, p.lost(g), true)
+	if reason := cmp.Or(p.lost(g), p.hopeless(g)); reason != "" {
+		p.startClose(g, reason, true)
 		return
 	}
 	if p.headState(g) == MemberOpen {
@@ -127,6 +161,7 @@
 	}
 	if p.headState(g) == MemberReady {
 		p.enter(g, Opening, "")
+		g.due = p.msg.Now + formFactor*formSlack
 	}
 }
 
--- a/internal/placer/options.go
+++ b/internal/placer/options.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// defaultSilentAfter is longer than two report calls that time out.
@@ -18,6 +21,7 @@
 	repeatAfter time.Duration
 	breakAfter  time.Duration
 	loadWindow  time.Duration
+	loads       []time.Duration
 }
 
 func defaults() options {
@@ -30,6 +34,12 @@
 // Option changes a setting of a Placer.
 type Option func(*options)
 
+// WithEarlierLoads counts loads that an earlier leader may have begun up to a
+// moment, so that those of both leaders together keep to the store's limit.
+func WithEarlierLoads(n int, at time.Duration) Option {
+	return func(o *options) { o.loads = slices.Repeat([]time.Duration{at}, n) }
+}
+
 // WithSilentAfter sets after which unanswered time an endpoint counts as
 // silent.
 func WithSilentAfter(d time.Duration) Option { return func(o *options) { o.silentAfter = d } }
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -133,8 +133,11 @@
 func (p *Placer) placeOne() bool {
 	free := p.free()
 	for i, model := range p.byNeed() {
-		if i > 0 && len(p.msg.Demand) > 0 && (p.ratios()[model.Name] > otherModelBelow || p.giving()) {
-			return false
+		if i > 0 && len(p.msg.Demand) > 0 {
+			if p.ratios()[model.Name] > otherModelBelow {
+				return false
+			}
+			maps.DeleteFunc(free, func(domain string, _ []tracker.Endpoint) bool { return p.giving(domain) })
 		}
 		if members := p.choose(model, free); members != nil {
 			p.newGroup(model, members)
@@ -165,8 +168,9 @@
 	return models
 }
 
-// stealGain is how much better the worst-served model must stand after a group
-// of another model was given up for it.
+// stealGain is how much better than the worst-served model stood before the
+// models must stand that have given up groups for it. What it gains by one group
+// is a small part of it in a large fleet, and is not compared.
 const stealGain = 1.15
 
 // mostDonors bounds the groups that are given up for one of a model that stands
@@ -177,11 +181,18 @@
 // steal gives up groups of models that have plenty where their members and free
 // endpoints of the domain complete a group of the neediest model.
 func (p *Placer) steal(needy describer.Model, free map[string][]tracker.Endpoint) bool {
-	if len(p.msg.Demand) == 0 || p.giving() || (p.gaveAt != 0 && p.msg.Now-p.gaveAt < giveEvery) {
+	if len(p.msg.Demand) == 0 {
+		return false
+	}
+	domains := p.domains()
+	if p.givers(domains) >= max(len(domains)/domainsPerGiver, 1) {
 		return false
 	}
 	var best []*Group
-	for _, domain := range p.domains() {
+	for _, domain := range domains {
+		if p.giving(domain) || p.gaveLately(domain) {
+			continue
+		}
 		donors := p.donors(domain, needy, len(p.warm(free[domain], needy)))
 		if donors != nil && (best == nil || len(donors) < len(best)) {
 			best = donors
@@ -189,12 +200,32 @@
 	}
 	for _, donor := range best {
 		donor.given = true
-		p.gaveAt = p.msg.Now
+		p.gaveAt[donor.FabricDomain] = p.msg.Now
 		p.startClose(donor, "its members complete a group of "+needy.Name, false)
 	}
 	return best != nil
 }
 
+// domainsPerGiver is of how many fabric domains one may give up groups at a
+// time: those given up serve nobody for some seconds.
+const domainsPerGiver = 4
+
+// givers counts the fabric domains that give up groups, or did of late.
+func (p *Placer) givers(domains []string) int {
+	n := 0
+	for _, domain := range domains {
+		if p.giving(domain) || p.gaveLately(domain) {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Placer) gaveLately(domain string) bool {
+	at, ok := p.gaveAt[domain]
+	return ok && p.msg.Now-at < giveEvery
+}
+
 func (p *Placer) domains() []string {
 	domains := map[string]bool{}
 	for _, g := range p.groups {
@@ -230,12 +261,10 @@
 	if len(donors) == 0 || free < needy.Size {
 		return nil
 	}
-	after := held[needy.Name] + float64(needy.Size)/max(p.wanted(needy), 1)
 	for _, donor := range donors {
-		after = min(after, held[donor.Model])
-	}
-	if after <= before*stealGain {
-		return nil
+		if held[donor.Model] <= before*stealGain {
+			return nil
+		}
 	}
 	return donors
 }
@@ -269,10 +298,10 @@
 // settled is how long a group serves before it may be given up.
 const settled = 3 * time.Second
 
-// giving reports whether a group is being given up for another.
-func (p *Placer) giving() bool {
+// giving reports whether a group of a domain is being given up for another.
+func (p *Placer) giving(domain string) bool {
 	for _, g := range p.groups {
-		if g.State == Closing && g.given && g.parted == 0 {
+		if g.FabricDomain == domain && g.State == Closing && g.given && g.parted == 0 {
 			return true
 		}
 	}
@@ -301,7 +330,7 @@
 	bestTime := time.Duration(0)
 	for _, domain := range slices.Sorted(maps.Keys(free)) {
 		list := slices.Clone(free[domain])
-		if len(p.msg.Demand) > 0 {
+		if p.msg.traffic() {
 			list = p.warm(list, model)
 		}
 		if len(list) < model.Size {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -105,6 +105,8 @@
 	Reason        string        // Reason is why the group closes.
 
 	adopted bool          // adopted tells that an earlier leader formed the group.
+	refused int           // refused counts the orders that its members refused as overtaken.
+	due     time.Duration // due is when a group that forms is given up.
 	given   bool          // given tells that the group is given up for another one.
 	parted  time.Duration // parted is when all reachable members of a silent head had left.
 	ordered map[string]time.Duration
@@ -124,8 +126,12 @@
 	Stalled   map[string]bool    // Stalled names the heads of whose several answers none moves.
 	Known     []messenger.GroupView
 	Observe   bool // Observe takes in whole groups and gives no orders.
+	Traffic   bool // Traffic tells that clients were served before, also by an earlier leader.
 }
 
+// traffic reports whether loads count against the store's limit.
+func (m PlanMsg) traffic() bool { return m.Traffic || len(m.Demand) > 0 }
+
 // Placer holds the groups of one service. It is not safe for concurrent use.
 type Placer struct {
 	options options
@@ -135,7 +141,7 @@
 	ended   map[string]bool
 	staging map[string]stage
 	loads   []time.Duration
-	gaveAt  time.Duration // gaveAt is when a group was last given up for another.
+	gaveAt  map[string]time.Duration // gaveAt is when a fabric domain last gave up a group for another.
 	msg     PlanMsg
 	byID    map[string]tracker.Endpoint
 	orders  []Order
@@ -143,10 +149,11 @@
 
 // New returns a placer for one term of leadership.
 func New(term int, opts ...Option) *Placer {
-	p := &Placer{options: defaults(), term: term, groups: map[string]*Group{}, ended: map[string]bool{}, staging: map[string]stage{}}
+	p := &Placer{options: defaults(), term: term, groups: map[string]*Group{}, ended: map[string]bool{}, staging: map[string]stage{}, gaveAt: map[string]time.Duration{}}
 	for _, opt := range opts {
 		opt(&p.options)
 	}
+	p.loads = p.options.loads
 	return p
 }
 
@@ -204,8 +211,12 @@
 	return sound
 }
 
+// leastMisses is how many calls in a row show that an endpoint does not answer:
+// one may be late since this process is.
+const leastMisses = 2
+
 func (p *Placer) isSilent(e tracker.Endpoint) bool {
-	return e.Failing != 0 && p.msg.Now-e.Failing > p.options.silentAfter && p.msg.Now-e.Seen > p.options.silentAfter
+	return e.Failing != 0 && e.Misses >= leastMisses && p.msg.Now-e.Failing > p.options.silentAfter && p.msg.Now-e.Seen > p.options.silentAfter
 }
 
 // inGroup reports whether the last report of a member shows it in its group.
@@ -240,16 +251,27 @@
 		Name: model.Name + "/" + strconv.Itoa(epoch), Service: p.msg.Service, Model: model.Name, Epoch: epoch, Since: p.msg.Now,
 		FailureDomain: members[0].View.FailureDomain, FabricDomain: members[0].Report.FabricDomain,
 	}
+	slowest := time.Duration(0)
 	for _, e := range members {
 		g.Members = append(g.Members, Member{e.View.Instance, e.View.Born})
-		if p.readyIn(e, model) >= model.Load {
+		ready := p.readyIn(e, model)
+		slowest = max(slowest, ready)
+		if ready >= model.Load {
 			p.loads = append(p.loads, p.msg.Now)
 		}
 	}
+	g.due = p.msg.Now + formFactor*(slowest+formSlack)
 	p.groups[g.Name] = g
 	p.form(g)
 }
 
+const (
+	// formFactor is how many times its declared time a group may take to form.
+	formFactor = 2
+	// formSlack is for orders, their repetition and the opening of a group.
+	formSlack = 2 * time.Second
+)
+
 func compareEndpoints(a, b tracker.Endpoint) int {
 	return cmp.Compare(a.View.Instance, b.View.Instance)
 }
--- /dev/null
+++ b/internal/placer/scale_test.go
@@ -0,0 +1,161 @@
+package placer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"papayaseam/internal/messenger"
+	"papayaseam/internal/tracker"
+
+	"gotest.tools/v3/assert"
+)
+
+func (w *world) group(name string) (Group, bool) {
+	groups := w.placer.Groups()
+	i := slices.IndexFunc(groups, func(g Group) bool { return g.Name == name })
+	if i < 0 {
+		return Group{}, false
+	}
+	return groups[i], true
+}
+
+// TestGroupWhoseMembersSawNewerOrdersIsGivenUp has members that refuse each
+// order to join: an earlier or later leader has numbered higher.
+func TestGroupWhoseMembersSawNewerOrdersIsGivenUp(t *testing.T) {
+	w := newWorld(1, 4)
+	for _, e := range w.engines {
+		e.epoch = 9 * EpochsPerTerm
+	}
+	w.step()
+	name := w.placer.Groups()[0].Name
+	w.run(2 * defaultRepeatAfter)
+	_, stands := w.group(name)
+	assert.Assert(t, !stands, "%s holds its members", name)
+}
+
+// TestOvertakenOrderIsSentAgain has one order that a later one overtook.
+func TestOvertakenOrderIsSentAgain(t *testing.T) {
+	w := newWorld(1, 4)
+	w.step()
+	name := w.placer.Groups()[0].Name
+	w.placer.Refuse(name)
+	w.run(testEngine.Models[0].Load + formSlack)
+	g, stands := w.group(name)
+	assert.Assert(t, stands && g.State == Open)
+}
+
+// TestAdoptedGroupThatLostAMemberEnds has a new leader take in a group that
+// formed, one of whose members then joins another.
+func TestAdoptedGroupThatLostAMemberEnds(t *testing.T) {
+	msg := pair()
+	msg.Endpoints[0].Report.State = MemberReady
+	p := New(2)
+	p.Update(msg)
+	assert.Equal(t, p.Groups()[0].Name, "small/1")
+	msg.Now += planStep
+	msg.Endpoints[1].Report.Group, msg.Endpoints[1].Report.Epoch = "small/7", 7
+	orders := p.Update(msg)
+	assert.Assert(t, !slices.ContainsFunc(orders, func(o Order) bool { return o.Op == OpJoin && o.Group == "small/1" }), "%v", orders)
+}
+
+// TestGroupThatDoesNotFormInTimeIsGivenUp has a member that takes each order and
+// never joins.
+func TestGroupThatDoesNotFormInTimeIsGivenUp(t *testing.T) {
+	w := newWorld(1, 4)
+	w.delay = func() time.Duration { return time.Hour }
+	w.step()
+	first := w.placer.Groups()[0].Name
+	w.run(formFactor*(testEngine.Models[0].Load+formSlack) + planStep)
+	_, stands := w.group(first)
+	assert.Assert(t, !stands)
+}
+
+// TestLoadsOfTwoLeadersKeepToTheStoresLimit counts loads over a whole window
+// across a change of leader at its worst moment.
+func TestLoadsOfTwoLeadersKeepToTheStoresLimit(t *testing.T) {
+	w := busy()
+	for i := range 40 {
+		w.add(fmt.Sprintf("new-%02d", i), "d0")
+	}
+	before := w.loads
+	w.run(time.Second)
+	w.term++
+	w.placer = New(w.term, WithBreakAfter(stall), WithEarlierLoads(int(testEngine.LoadsPerSec), w.now))
+	w.run(time.Second)
+	assert.Assert(t, w.loads-before <= 2*int(testEngine.LoadsPerSec), "%d loads in two seconds", w.loads-before)
+}
+
+// TestNewLeaderWithoutDemandLoadsAsInTraffic has a leader that was elected while
+// clients are served, and has not heard of any demand yet.
+func TestNewLeaderWithoutDemandLoadsAsInTraffic(t *testing.T) {
+	w := busy()
+	for i := range 40 {
+		w.add(fmt.Sprintf("new-%02d", i), "d0")
+	}
+	w.elect()
+	msg := w.plan()
+	msg.Demand = nil
+	msg.Traffic = true
+	stages := 0
+	for _, o := range w.placer.Update(msg) {
+		if o.Op == OpStage || o.Op == OpJoin {
+			stages++
+		}
+	}
+	assert.Assert(t, stages <= int(testEngine.LoadsPerSec), "%d loads at once", stages)
+}
+
+// TestOneLateAnswerEndsNoGroup is for a leader that is late itself: one call to
+// a member timed out, long after its last announcement.
+func TestOneLateAnswerEndsNoGroup(t *testing.T) {
+	msg := pair()
+	p := New(1)
+	p.Update(msg)
+	msg.Now += 2 * time.Second
+	msg.Endpoints[1].Failing = msg.Now - defaultSilentAfter - time.Millisecond
+	msg.Endpoints[1].Misses = 1
+	p.Update(msg)
+	assert.Equal(t, p.Groups()[0].State, Open)
+	msg.Endpoints[1].Misses = leastMisses
+	p.Update(msg)
+	assert.Equal(t, p.Groups()[0].State, Closing)
+}
+
+// large returns a world of many fabric domains in which one model has far too
+// few groups.
+func large(domains int) *world {
+	w := newWorld(domains, 12)
+	w.run(60 * time.Second)
+	w.demand = map[string]float64{"large": 20, "small": 60}
+	w.run(20 * time.Second)
+	return w
+}
+
+// TestGivesGrowWithTheFleet shifts most of the demand to the other model: in a
+// fleet of twenty domains its groups grow in several domains at a time.
+func TestGivesGrowWithTheFleet(t *testing.T) {
+	w := large(20)
+	before := w.open("large")
+	w.demand = map[string]float64{"large": 200, "small": 20}
+	w.run(12 * time.Second)
+	assert.Assert(t, w.open("large") >= before+2*20/domainsPerGiver, "%d groups, then %d", before, w.open("large"))
+	assert.DeepEqual(t, w.broken, []string(nil))
+}
+
+// TestSilentCallsCount has the table count misses as the prober makes them.
+func TestSilentCallsCount(t *testing.T) {
+	table := tracker.New()
+	table.Update(tracker.AnnounceMsg{Now: time.Second, Endpoint: messenger.EndpointView{Instance: "e", Born: 1, Address: "a"}})
+	for i := range 3 {
+		table.Update(tracker.FailedMsg{Began: time.Duration(2+i) * time.Second, ID: "e", Born: 1})
+	}
+	e, _ := table.Endpoint("e")
+	assert.Equal(t, e.Misses, 3)
+	assert.Equal(t, e.Failing, 2*time.Second)
+	table.Update(tracker.AliveMsg{Now: 5 * time.Second, ID: "e", Born: 1, Sequence: 2})
+	e, _ = table.Endpoint("e")
+	assert.Equal(t, e.Misses, 0)
+	assert.Equal(t, e.Seen, 5*time.Second)
+}
--- a/internal/placer/stage.go
+++ b/internal/placer/stage.go
@@ -16,7 +16,7 @@
 
 // stage lets hosts load the model that they may need next, beside all else:
 // a host in a group the neediest other model, a free one the neediest of all.
-// Before there is demand, loads are not bounded.
+// Before there is traffic they begin at a quicker pace.
 func (p *Placer) stage() {
 	p.forgetLoads()
 	free := p.free()
@@ -60,8 +60,7 @@
 	if _, begun := p.staging[id]; begun {
 		return
 	}
-	busy := len(p.staging) >= max(most, 1) || float64(p.recentLoads()+1) > p.msg.Engine.LoadsPerSec
-	if len(p.msg.Demand) > 0 && busy {
+	if p.storeBusy(most) {
 		return
 	}
 	model, ok := p.toStage(e, free[e.Report.FabricDomain])
@@ -73,6 +72,20 @@
 	p.orders = append(p.orders, Order{Instance: id, Born: e.View.Born, Op: OpStage, Model: model.Name, Orders: e.Report.Orders})
 }
 
+// storeBusy reports whether the weight store allows no load now. Before there
+// is traffic loads are quick and do not count; they keep to a pace at which
+// those that begin while the first requests come are within the limit.
+func (p *Placer) storeBusy(most int) bool {
+	recent := float64(p.recentLoads() + 1)
+	if !p.msg.traffic() {
+		return recent > earlyPace*p.msg.Engine.LoadsPerSec
+	}
+	return len(p.staging) >= max(most, 1) || recent > p.msg.Engine.LoadsPerSec
+}
+
+// earlyPace is how much quicker loads begin before there is traffic.
+const earlyPace = 2
+
 // toStage returns the model that a host should load next: the one of which a
 // group in its domain is complete the soonest, or false where it holds what it
 // may need.
--- /dev/null
+++ b/internal/prober/prober.go
@@ -0,0 +1,199 @@
+// Package prober decides which endpoints control reads next, as a pure state
+// machine: those that may be lost first, heads for their load, and endpoints
+// that say nothing of themselves, all together within a bound on calls a
+// second.
+//
+// # Usage
+//
+//	p := prober.New()
+//	for _, probe := range p.Update(prober.TickMsg{Now: now, Endpoints: endpoints, Roles: roles}) {
+//		read(probe.ID, probe.Timeout)
+//	}
+//
+// Endpoints announce each change of their own at once, so what is read is the
+// load of heads and whether silent endpoints are still there.
+package prober
+
+import (
+	"maps"
+	"time"
+
+	"papayaseam/internal/tracker"
+)
+
+const (
+	// paceUrgent is the pace for members of a group that stands still.
+	paceUrgent = 50 * time.Millisecond
+	// paceBusy is the pace for members of groups that change.
+	paceBusy = 60 * time.Millisecond
+	// paceSuspect is the pace for endpoints that did not answer.
+	paceSuspect = 200 * time.Millisecond
+	// paceHead is the pace for the load of heads that serve.
+	paceHead = 200 * time.Millisecond
+	// paceIdle is the pace for all other endpoints.
+	paceIdle = 500 * time.Millisecond
+	// defaultMost is the number of calls a second to which the paces are
+	// stretched: above what a hundred endpoints need at their full pace.
+	defaultMost = 400
+	// mostFlying bounds the calls under way: more of them only wait for each other
+	// in this process, and time out.
+	mostFlying = 48
+	// longestPace bounds the stretched pace: a few announcements.
+	longestPace = 3 * time.Second
+	// timeout is above the way and a slow machine.
+	timeout = 300 * time.Millisecond
+	// urgentTimeout is for members of a group that stands still.
+	urgentTimeout = 150 * time.Millisecond
+)
+
+// Role is what an endpoint does, as far as it matters for its pace.
+type Role int
+
+// The roles.
+const (
+	Idle    Role = iota
+	Head         // Head leads a group that serves.
+	Busy         // Busy is a member of a group that changes.
+	Urgent       // Urgent is a member of a group that stands still.
+	suspect      // suspect endpoints did not answer.
+)
+
+var paces = map[Role]time.Duration{Idle: paceIdle, Head: paceHead, Busy: paceBusy, Urgent: paceUrgent, suspect: paceSuspect}
+
+// roleOf is the role in which an endpoint is read.
+func roleOf(msg TickMsg, e tracker.Endpoint) Role {
+	role := msg.Roles[e.View.Instance]
+	if e.Failing != 0 && (role == Idle || role == Head) {
+		return suspect
+	}
+	return role
+}
+
+// Probe is one endpoint to read now.
+type Probe struct {
+	Endpoint tracker.Endpoint
+	Timeout  time.Duration
+}
+
+// TickMsg asks what is due; endpoints without a role are idle.
+type TickMsg struct {
+	Now       time.Duration
+	Endpoints []tracker.Endpoint
+	Roles     map[string]Role
+}
+
+// EndedMsg tells that the call to an endpoint has ended.
+type EndedMsg struct{ ID string }
+
+// Msg is an input of the prober.
+type Msg interface{ proberMsg() }
+
+func (TickMsg) proberMsg()  {}
+func (EndedMsg) proberMsg() {}
+
+// Prober remembers when endpoints were read. It is not safe for concurrent use.
+type Prober struct {
+	most   float64
+	asked  map[string]time.Duration
+	flying map[string]bool
+}
+
+// Option changes a setting of a Prober.
+type Option func(*Prober)
+
+// WithMost sets the calls a second above which all but urgent paces are
+// stretched.
+func WithMost(n float64) Option { return func(p *Prober) { p.most = n } }
+
+// New returns a prober that has read nothing yet.
+func New(opts ...Option) *Prober {
+	p := &Prober{most: defaultMost, asked: map[string]time.Duration{}, flying: map[string]bool{}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Update takes one message and returns the probes that are due.
+func (p *Prober) Update(msg Msg) []Probe {
+	switch msg := msg.(type) {
+	case TickMsg:
+		return p.tick(msg)
+	case EndedMsg:
+		delete(p.flying, msg.ID)
+	}
+	return nil
+}
+
+func (p *Prober) tick(msg TickMsg) []Probe {
+	p.forget(msg.Endpoints)
+	stretch := p.stretch(msg)
+	var due []Probe
+	for _, e := range msg.Endpoints {
+		id := e.View.Instance
+		role := roleOf(msg, e)
+		if len(p.flying) >= mostFlying && role != Urgent {
+			continue
+		}
+		at, asked := p.asked[id]
+		if e.Refused || p.flying[id] || (asked && msg.Now < at+stretch.pace(role)) {
+			continue
+		}
+		p.asked[id] = msg.Now
+		p.flying[id] = true
+		probe := Probe{Endpoint: e, Timeout: timeout}
+		if role == Urgent {
+			probe.Timeout = urgentTimeout
+		}
+		due = append(due, probe)
+	}
+	return due
+}
+
+// stretches are by how much the paces grow to keep to the bound: those of idle
+// endpoints first, since they announce themselves.
+type stretches struct{ idle, others float64 }
+
+func (p *Prober) stretch(msg TickMsg) stretches {
+	idle, others := 0.0, 0.0
+	for _, e := range msg.Endpoints {
+		switch role := roleOf(msg, e); {
+		case e.Refused:
+		case role == Idle:
+			idle += perSecond(paceIdle)
+		default:
+			others += perSecond(paces[role])
+		}
+	}
+	slowest := float64(longestPace) / float64(paceIdle)
+	s := stretches{idle: min(max(idle/max(p.most-others, 1), 1), slowest)}
+	s.others = max(others/max(p.most-idle/s.idle, 1), 1)
+	return s
+}
+
+func perSecond(pace time.Duration) float64 { return float64(time.Second) / float64(pace) }
+
+// pace returns how often an endpoint in a role is read.
+func (s stretches) pace(role Role) time.Duration {
+	factor := s.others
+	switch role {
+	case Urgent:
+		return paceUrgent
+	case Idle:
+		factor = s.idle
+	case Head, Busy, suspect:
+	}
+	return min(time.Duration(float64(paces[role])*factor), longestPace)
+}
+
+// forget drops endpoints that are gone.
+func (p *Prober) forget(endpoints []tracker.Endpoint) {
+	if len(p.asked) <= len(endpoints) {
+		return
+	}
+	known := map[string]bool{}
+	for _, e := range endpoints {
+		known[e.View.Instance] = true
+	}
+	maps.DeleteFunc(p.asked, func(id string, _ time.Duration) bool { return !known[id] })
+}
--- a/internal/runner/direct.go
+++ b/internal/runner/direct.go
@@ -59,7 +59,7 @@
 func (p *process) addDirector(ctx context.Context) error {
 	s := p.settings.Direct
 	d, err := director.New(director.Config{
-		Name: p.settings.Name, Address: s.Address, Home: s.Listen, Seeds: s.Seeds, First: s.First, Folder: s.DataFolder,
+		Name: p.settings.Name, Domain: p.settings.FailureDomain, Address: s.Address, Home: s.Listen, Seeds: s.Seeds, First: s.First, Folder: s.DataFolder,
 		Losses: s.Losses, BreakAfter: s.BreakAfter, Decode: platform.DecodeConfiguration,
 	}, platform.NewEndpoints(), p.log)
 	if err != nil {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -27,6 +27,7 @@
 	Seen     time.Duration // Seen is when anything was last heard of it.
 	ReportAt time.Duration // ReportAt is when its state was last read.
 	Failing  time.Duration // Failing is when the first of its unanswered calls began; 0 where the last was answered.
+	Misses   int           // Misses is the number of unanswered calls since then.
 	Refused  bool          // Refused tells that no process listens at its address any more.
 
 	told      membership    // told is what its newest announcement said.
@@ -56,6 +57,14 @@
 	Report   *messenger.EndpointReport
 }
 
+// AliveMsg tells that a boot announced itself anew without a change.
+type AliveMsg struct {
+	Now      time.Duration
+	ID       string
+	Born     int
+	Sequence int
+}
+
 // LeaveMsg tells that a boot leaves; what it still says changes nothing more.
 type LeaveMsg struct {
 	ID   string
@@ -92,6 +101,7 @@
 }
 
 func (AnnounceMsg) trackerMsg() {}
+func (AliveMsg) trackerMsg()    {}
 func (LeaveMsg) trackerMsg()    {}
 func (ReportMsg) trackerMsg()   {}
 func (FailedMsg) trackerMsg()   {}
@@ -133,6 +143,8 @@
 	switch msg := msg.(type) {
 	case AnnounceMsg:
 		return t.announce(msg)
+	case AliveMsg:
+		t.alive(msg)
 	case LeaveMsg:
 		return t.leave(msg)
 	case ReportMsg:
@@ -168,7 +180,7 @@
 	before.Sequence = view.Sequence
 	old.View = view
 	old.Seen = msg.Now
-	old.Failing = 0
+	old.Failing, old.Misses = 0, 0
 	old.Refused = false
 	changed := before != view
 	if msg.Report != nil {
@@ -177,6 +189,18 @@
 	return changed
 }
 
+// alive notes that an endpoint was heard.
+func (t *Tracker) alive(msg AliveMsg) {
+	e, ok := t.endpoints[msg.ID]
+	if !ok || e.View.Born != msg.Born || msg.Sequence <= e.View.Sequence {
+		return
+	}
+	e.View.Sequence = msg.Sequence
+	e.Seen = msg.Now
+	e.Failing, e.Misses = 0, 0
+	e.Refused = false
+}
+
 // reportLife is how long a report that was asked for goes before what an
 // announcement tells, where the order of the two is not known: longer than
 // announcements are under way.
@@ -283,7 +307,7 @@
 		return false
 	}
 	e.Seen = max(e.Seen, msg.Now)
-	e.Failing = 0
+	e.Failing, e.Misses = 0, 0
 	e.Refused = false
 	report := msg.Report
 	if e.orderedAt != 0 && msg.Now-e.orderedAt < reportLag {
@@ -311,6 +335,7 @@
 	if e.Failing == 0 {
 		e.Failing = msg.Began
 	}
+	e.Misses++
 	changed := msg.Refused && !e.Refused
 	e.Refused = e.Refused || msg.Refused
 	return changed
