Loads go where they gain most; the gain of one group is not compared in a large fleet

In a large fleet one group is a small part, so that the least gain of 15 % was never reached and no groups were given up for the model in need.

Ruled out: the store's bound itself (six loads at once in some 14 s).

Change: loads of free hosts in the order of what the model lacks, times the instances, by loads and time until the group is whole; several groups are given up at a time where there are many fabric domains. Tests name the pattern.

--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -34,16 +34,11 @@
 
 // free returns the sound endpoints that are in no group, by fabric domain.
 func (p *Placer) free() map[string][]tracker.Endpoint {
-	taken := map[string]bool{}
-	for _, g := range p.groups {
-		for _, m := range g.Members {
-			taken[m.Instance] = taken[m.Instance] || !p.hasParted(g, m)
-		}
-	}
+	taken := p.memberships()
 	free := map[string][]tracker.Endpoint{}
 	for _, e := range p.msg.Endpoints {
 		sound := p.health(Member{e.View.Instance, e.View.Born}) == sound
-		if taken[e.View.Instance] || p.heldBy(e) || !sound || e.ReportAt == 0 || e.Failing != 0 {
+		if taken[e.View.Instance] != nil || p.heldBy(e) || !sound || e.ReportAt == 0 || e.Failing != 0 {
 			continue
 		}
 		free[e.Report.FabricDomain] = append(free[e.Report.FabricDomain], e)
@@ -51,6 +46,19 @@
 	return free
 }
 
+// memberships maps instances to the groups that hold them.
+func (p *Placer) memberships() map[string]*Group {
+	held := map[string]*Group{}
+	for _, g := range p.groups {
+		for _, m := range g.Members {
+			if !p.hasParted(g, m) {
+				held[m.Instance] = g
+			}
+		}
+	}
+	return held
+}
+
 // heldBy reports whether an endpoint says that it is in a standing group that
 // does not count it as a member.
 func (p *Placer) heldBy(e tracker.Endpoint) bool {
@@ -168,9 +176,8 @@
 	return models
 }
 
-// stealGain is how much better than the worst-served model stood before the
-// models must stand that have given up groups for it. What it gains by one group
-// is a small part of it in a large fleet, and is not compared.
+// stealGain is how much better the worst-served model must stand after groups of
+// other models were given up for it.
 const stealGain = 1.15
 
 // mostDonors bounds the groups that are given up for one of a model that stands
@@ -185,7 +192,7 @@
 		return false
 	}
 	domains := p.domains()
-	if p.givers(domains) >= max(len(domains)/domainsPerGiver, 1) {
+	if p.givers(domains) >= p.giversAtOnce() {
 		return false
 	}
 	var best []*Group
@@ -210,6 +217,9 @@
 // time: those given up serve nobody for some seconds.
 const domainsPerGiver = 4
 
+// giversAtOnce is the number of fabric domains that may give up groups at a time.
+func (p *Placer) giversAtOnce() int { return max(len(p.domains())/domainsPerGiver, 1) }
+
 // givers counts the fabric domains that give up groups, or did of late.
 func (p *Placer) givers(domains []string) int {
 	n := 0
@@ -261,10 +271,16 @@
 	if len(donors) == 0 || free < needy.Size {
 		return nil
 	}
+	after := held[needy.Name] + float64(needy.Size)/max(p.wanted(needy), 1)
+	if p.giversAtOnce() > 1 {
+		// One group is a small part of a large fleet; several are won at a time.
+		after = math.Inf(1)
+	}
 	for _, donor := range donors {
-		if held[donor.Model] <= before*stealGain {
-			return nil
-		}
+		after = min(after, held[donor.Model])
+	}
+	if after <= before*stealGain {
+		return nil
 	}
 	return donors
 }
--- a/internal/placer/scale_test.go
+++ b/internal/placer/scale_test.go
@@ -159,3 +159,70 @@
 	assert.Equal(t, e.Misses, 0)
 	assert.Equal(t, e.Seen, 5*time.Second)
 }
+
+// short returns the view of a domain in which the large model has lost its last
+// group while the small one has plenty: three free hosts hold the small model,
+// one came empty.
+func short() PlanMsg {
+	msg := PlanMsg{Now: time.Second, Service: "s", Engine: testEngine, Demand: map[string]float64{"large": 4, "small": 1}}
+	for i := range 8 {
+		e := tracker.Endpoint{
+			View:     messenger.EndpointView{Instance: fmt.Sprintf("e%d", i), Born: 1, Service: "s"},
+			Report:   messenger.EndpointReport{Models: []string{"small"}, Staged: []string{"small"}, FabricDomain: "d"},
+			ReportAt: time.Second, Seen: time.Second,
+		}
+		if i < 4 {
+			e.Report.Group, e.Report.Epoch, e.Report.Rank, e.Report.State = fmt.Sprintf("small/%d", i/2+1), i/2+1, i%2, []string{MemberOpen, MemberReady}[i%2]
+			e.Report.Staged = []string{"large"}
+			e.Report.Busy = true
+		}
+		msg.Endpoints = append(msg.Endpoints, e)
+	}
+	msg.Endpoints[7].Report.Models, msg.Endpoints[7].Report.Staged = nil, nil
+	return msg
+}
+
+func staged(orders []Order) map[string]string {
+	models := map[string]string{}
+	for _, o := range orders {
+		if o.Op == OpStage {
+			models[o.Instance] = o.Model
+		}
+	}
+	return models
+}
+
+// TestLoadsGoToTheModelThatLacksMost is for days on which endpoints are lost for
+// good and come empty, a few loads at a time: the small model is loaded sooner,
+// and has plenty.
+func TestLoadsGoToTheModelThatLacksMost(t *testing.T) {
+	msg := short()
+	p := New(1)
+	models := map[string]string{}
+	for range 4 {
+		for id, model := range staged(p.Update(msg)) {
+			models[id] = model
+		}
+		msg.Now += time.Second
+	}
+	assert.DeepEqual(t, models, map[string]string{"e4": "large", "e5": "large", "e6": "large", "e7": "large"})
+}
+
+// TestLoadThatCompletesAGroupGoesFirst has one domain lack one load and another
+// three, while the store allows one at a time.
+func TestLoadThatCompletesAGroupGoesFirst(t *testing.T) {
+	msg := PlanMsg{Now: time.Second, Service: "s", Engine: testEngine, Demand: map[string]float64{"large": 8}}
+	msg.Engine.LoadsAtOnce, msg.Engine.LoadsPerSec = 1, 1
+	for i := range 8 {
+		e := tracker.Endpoint{
+			View:     messenger.EndpointView{Instance: fmt.Sprintf("e%d", i), Born: 1, Service: "s"},
+			Report:   messenger.EndpointReport{FabricDomain: fmt.Sprint(i / 4)},
+			ReportAt: time.Second, Seen: time.Second,
+		}
+		if i == 0 || (i >= 4 && i < 7) {
+			e.Report.Staged = []string{"large"}
+		}
+		msg.Endpoints = append(msg.Endpoints, e)
+	}
+	assert.DeepEqual(t, staged(New(1).Update(msg)), map[string]string{"e7": "large"})
+}
--- a/internal/placer/stage.go
+++ b/internal/placer/stage.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -15,34 +16,32 @@
 }
 
 // stage lets hosts load the model that they may need next, beside all else:
-// a host in a group the neediest other model, a free one the neediest of all.
-// Before there is traffic they begin at a quicker pace.
+// free ones where a load gains most, then those in groups the neediest other
+// model. Before there is traffic they begin at a quicker pace.
 func (p *Placer) stage() {
 	p.forgetLoads()
 	free := p.free()
-	inGroup := map[string]*Group{}
-	for _, g := range p.groups {
-		for _, m := range g.Members {
-			if !p.hasParted(g, m) {
-				inGroup[m.Instance] = g
-			}
-		}
-	}
-	ready := func(e tracker.Endpoint) bool {
-		return e.ReportAt != 0 && p.health(Member{e.View.Instance, e.View.Born}) == sound && !e.Report.Busy
+	for _, c := range p.candidates(free) {
+		p.stageOne(c.host, c.model, p.msg.Engine.LoadsAtOnce)
 	}
+	held := p.memberships()
 	for _, e := range p.msg.Endpoints {
-		if ready(e) && inGroup[e.View.Instance] == nil {
-			p.stageOne(e, free, p.msg.Engine.LoadsAtOnce)
+		g := held[e.View.Instance]
+		if g == nil || g.State != Open || !p.mayLoad(e) {
+			continue
 		}
-	}
-	for _, e := range p.msg.Endpoints {
-		if g := inGroup[e.View.Instance]; ready(e) && g != nil && g.State == Open {
-			p.stageOne(e, free, p.msg.Engine.LoadsAtOnce/groupedPart)
+		if model, ok := p.toStage(e); ok {
+			p.stageOne(e, model, p.msg.Engine.LoadsAtOnce/groupedPart)
 		}
 	}
 }
 
+// mayLoad reports whether a host takes an order to load.
+func (p *Placer) mayLoad(e tracker.Endpoint) bool {
+	_, begun := p.staging[e.View.Instance]
+	return !begun && e.ReportAt != 0 && !e.Report.Busy && p.health(Member{e.View.Instance, e.View.Born}) == sound
+}
+
 // groupedPart keeps most of the weight store for instances that serve nothing;
 // beyond the store's limit each load makes all others slower.
 const groupedPart = 3
@@ -55,18 +54,11 @@
 	})
 }
 
-func (p *Placer) stageOne(e tracker.Endpoint, free map[string][]tracker.Endpoint, most int) {
-	id := e.View.Instance
-	if _, begun := p.staging[id]; begun {
-		return
-	}
+func (p *Placer) stageOne(e tracker.Endpoint, model describer.Model, most int) {
 	if p.storeBusy(most) {
 		return
 	}
-	model, ok := p.toStage(e, free[e.Report.FabricDomain])
-	if !ok {
-		return
-	}
+	id := e.View.Instance
 	p.staging[id] = stage{p.msg.Now, model.Name}
 	p.loads = append(p.loads, p.msg.Now)
 	p.orders = append(p.orders, Order{Instance: id, Born: e.View.Born, Op: OpStage, Model: model.Name, Orders: e.Report.Orders})
@@ -86,42 +78,92 @@
 // earlyPace is how much quicker loads begin before there is traffic.
 const earlyPace = 2
 
-// toStage returns the model that a host should load next: the one of which a
-// group in its domain is complete the soonest, or false where it holds what it
-// may need.
-func (p *Placer) toStage(e tracker.Endpoint, free []tracker.Endpoint) (describer.Model, bool) {
-	var best describer.Model
-	least := time.Duration(0)
+// toStage returns the neediest model that a host in a group should load, or
+// false where it holds another one already.
+func (p *Placer) toStage(e tracker.Endpoint) (describer.Model, bool) {
 	for _, model := range p.byNeed() {
+		switch {
+		case slices.Contains(e.Report.Models, model.Name):
+		case slices.Contains(e.Report.Staged, model.Name):
+			return describer.Model{}, false
+		default:
+			return model, true
+		}
+	}
+	return describer.Model{}, false
+}
+
+// candidate is a load that a free host could begin.
+type candidate struct {
+	host  tracker.Endpoint
+	model describer.Model
+	gain  float64
+}
+
+// candidates returns for each free host the load that gains most, the most
+// gainful first: the store's loads are scarce after losses.
+func (p *Placer) candidates(free map[string][]tracker.Endpoint) []candidate {
+	var list []candidate
+	ratios := p.ratios()
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		hosts := free[domain]
+		for _, e := range hosts {
+			if !p.mayLoad(e) {
+				continue
+			}
+			if c, ok := p.bestLoad(e, hosts, ratios); ok {
+				list = append(list, c)
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.gain, a.gain) })
+	return list
+}
+
+// bestLoad returns the most gainful load of a free host. One that keeps the
+// weights of a model in need only in its store's place would lose them.
+func (p *Placer) bestLoad(e tracker.Endpoint, hosts []tracker.Endpoint, ratios map[string]float64) (candidate, bool) {
+	best := candidate{host: e}
+	for _, model := range p.msg.Engine.Models {
 		if slices.Contains(e.Report.Models, model.Name) {
 			continue
 		}
 		if slices.Contains(e.Report.Staged, model.Name) {
-			return describer.Model{}, false
+			if ratios[model.Name] < otherModelBelow {
+				return best, false
+			}
+			continue
 		}
-		soonest := model.Load + time.Duration(p.missing(e, free, model))*missingCost
-		if best.Name == "" || soonest < least {
-			best, least = model, soonest
+		if gain := p.gain(model, hosts, ratios[model.Name]); gain > best.gain {
+			best.model, best.gain = model, gain
 		}
 	}
-	return best, best.Name != ""
+	return best, best.gain > 0
 }
 
-// missingCost is how long another instance of a domain takes to come free, about
-// the pace of losses and arrivals.
-const missingCost = 4 * time.Second
-
-// missing returns how many more instances a group of a model needs in the
-// domain of a host, the host and the free ones that hold or load it counted.
-func (p *Placer) missing(host tracker.Endpoint, free []tracker.Endpoint, model describer.Model) int {
-	n := 1
-	for _, e := range free {
-		loading := p.staging[e.View.Instance].model == model.Name
-		if e.View.Instance != host.View.Instance && (loading || p.readyIn(e, model) < model.Load) {
-			n++
+const (
+	// missingCost is how long another instance of a domain takes to come free,
+	// about the pace of losses and arrivals.
+	missingCost = 4 * time.Second
+	// leastDeficit is what a group of a model with plenty is still worth.
+	leastDeficit = 0.05
+)
+
+// gain is what one more load of a model in a domain is worth a second: what the
+// model lacks, times the instances that the group serves with, by the loads and
+// the time until it is whole.
+func (p *Placer) gain(model describer.Model, hosts []tracker.Endpoint, ratio float64) float64 {
+	have := 0
+	for _, e := range hosts {
+		if p.staging[e.View.Instance].model == model.Name || p.readyIn(e, model) < model.Load {
+			have++
 		}
 	}
-	return (model.Size - n%model.Size) % model.Size
+	loads := model.Size - have%model.Size
+	absent := max(model.Size-len(hosts), 0)
+	takes := model.Load + time.Duration(absent)*missingCost
+	deficit := max(otherModelBelow-ratio, leastDeficit)
+	return deficit * float64(model.Size) / float64(loads) / takes.Seconds()
 }
 
 // stage is one load of a host.
