--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -287,6 +287,10 @@
 	repeatOrWoken(ctx, every, nil, step)
 }
 
+// restFactor bounds a step's part of the processor to a tenth: it rests for so
+// many times what it took, however often it is woken.
+const restFactor = 9
+
 // repeatOrWoken is repeat, but a word on the channel brings the next step
 // forward.
 func repeatOrWoken(ctx context.Context, every time.Duration, wake <-chan struct{}, step func(context.Context)) {
@@ -299,7 +303,21 @@
 		case <-ticker.C:
 		case <-wake:
 		}
+		began := time.Now()
 		step(ctx)
+		if wake != nil {
+			rest(ctx, restFactor*time.Since(began))
+		}
+	}
+}
+
+// rest waits, or until the context ends.
+func rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -22,6 +22,8 @@
 	pollEvery = 25 * time.Millisecond
 	// settleAfter is how long a new leader reads reports before it plans.
 	settleAfter = 700 * time.Millisecond
+	// settleMost bounds that time where some endpoints are never heard.
+	settleMost = 3 * time.Second
 	// settleFirst is how long the first leader waits for more endpoints.
 	settleFirst = 600 * time.Millisecond
 	// forgetAfter is several announcements and the longest drain.
@@ -81,6 +83,7 @@
 	known        int  // known is the number of endpoints at the last plan.
 	inherited    bool // inherited tells that this leader began with an earlier one's groups.
 	partial      bool // partial tells that groups which are not known here may stand.
+	settled      bool // settled tells that this leader has read enough to plan.
 	censusAt     time.Duration
 	remembered   map[string]int // remembered maps identities to the boots whose addresses are in the log.
 	trafficAt    time.Duration  // trafficAt is when the log was last asked to note that clients are served.
@@ -153,6 +156,8 @@
 	f.prober = prober.New()
 	f.relays = map[string]relayState{}
 	f.remembered = map[string]int{}
+	f.settled = false
+	f.known = 0
 	f.inherited = len(f.viewer.Groups()) > 0 && !f.viewer.Partial()
 	f.partial = !f.inherited
 	d.collector = newCollector()
@@ -246,8 +251,16 @@
 	return options
 }
 
-// settled reports whether this leader has read enough to plan; mu is held.
+// settled reports whether this leader has read enough to plan: each endpoint has
+// said what it does, or does not answer. Once it has, endpoints that come later
+// hold no plan back. mu is held.
 func (d *Director) settled() bool {
+	f := &d.fleet
+	f.settled = f.settled || d.heardEnough()
+	return f.settled
+}
+
+func (d *Director) heardEnough() bool {
 	f := &d.fleet
 	if n := len(f.tracker.Endpoints()); n > f.known {
 		f.known = n
@@ -256,9 +269,17 @@
 	if now()-d.leadSince < settleAfter {
 		return false
 	}
+	if now()-d.leadSince < settleMost && slices.ContainsFunc(d.engines(), unheard) {
+		return false
+	}
 	return f.inherited || now()-f.lastNew > settleFirst
 }
 
+// unheard reports whether nothing is known of an endpoint's state yet.
+func unheard(e tracker.Endpoint) bool {
+	return e.ReportAt == 0 && !e.Refused && e.Misses < placer.LeastMisses
+}
+
 // logCensus writes once a second what the endpoints of a service do; mu is held.
 func (d *Director) logCensus(service string, p *placer.Placer) {
 	if now()-d.fleet.censusAt < censusEvery {
--- a/internal/director/round_test.go
+++ b/internal/director/round_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 
+	"papayaseam/internal/describer"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/placer"
 	"papayaseam/internal/tracker"
@@ -255,3 +256,43 @@
 		<-d.ended
 	}
 }
+
+// TestNewLeaderHearsAllEndpointsBeforeItPlans is a leader after a loss of all of
+// control: a group of which it has not heard all members yet is not incomplete.
+func TestNewLeaderHearsAllEndpointsBeforeItPlans(t *testing.T) {
+	d, err := New(Config{Name: "c", Address: "127.0.0.1:1"}, silentEndpoints{}, quiet())
+	assert.NilError(t, err)
+	d.config = &describer.Configuration{Services: []describer.Service{{Name: "s", Engine: &describer.Engine{}}, {Name: "plain"}}}
+	d.leading, d.leadSince = true, now()-settleAfter
+	d.fleet.inherited = true
+	table := d.table()
+	for _, id := range []string{"e1", "e2"} {
+		table.Update(tracker.AnnounceMsg{Now: now(), Endpoint: messenger.EndpointView{Instance: id, Born: 5, Address: id, Service: "s"}})
+	}
+	table.Update(tracker.AnnounceMsg{Now: now(), Endpoint: messenger.EndpointView{Instance: "p", Born: 5, Address: "p", Service: "plain"}})
+	assert.Assert(t, !d.settled())
+	table.Update(tracker.ReportMsg{Now: now(), ID: "e1", Born: 5})
+	assert.Assert(t, !d.settled())
+	for range placer.LeastMisses {
+		table.Update(tracker.FailedMsg{Began: now(), ID: "e2", Born: 5})
+	}
+	assert.Assert(t, d.settled(), "an endpoint that does not answer holds the plan back")
+	d.fleet.settled = false
+	table.Update(tracker.AnnounceMsg{Now: now(), Endpoint: messenger.EndpointView{Instance: "e3", Born: 5, Address: "e3", Service: "s"}})
+	assert.Assert(t, !d.settled())
+	d.leadSince = now() - settleMost
+	assert.Assert(t, d.settled(), "an endpoint that is never heard holds the plan back for good")
+}
+
+// TestNewEndpointsHoldNoPlanBack is a scale-out: endpoints come one after the
+// other while the leader serves.
+func TestNewEndpointsHoldNoPlanBack(t *testing.T) {
+	d, err := New(Config{Name: "c", Address: "127.0.0.1:1"}, silentEndpoints{}, quiet())
+	assert.NilError(t, err)
+	d.config = &describer.Configuration{Services: []describer.Service{{Name: "s", Engine: &describer.Engine{}}}}
+	d.leading, d.leadSince = true, now()-settleMost
+	d.fleet.lastNew = now() - settleMost
+	assert.Assert(t, d.settled())
+	d.table().Update(tracker.AnnounceMsg{Now: now(), Endpoint: messenger.EndpointView{Instance: "e", Born: 5, Address: "e", Service: "s"}})
+	assert.Assert(t, d.settled())
+}
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -305,8 +305,7 @@
 	if departed {
 		changed = d.table().Update(tracker.LeaveMsg{ID: view.Instance, Born: view.Born}) || changed
 	}
-	if changed && len(d.fleet.placers) > 0 {
-		d.publish()
+	if changed {
 		d.wakePlan()
 	}
 	d.remember(ctx, view)
--- a/internal/placer/adopt.go
+++ b/internal/placer/adopt.go
@@ -27,6 +27,10 @@
 	if p.groups[view.Name] != nil || p.ended[view.Name] || len(view.Members) == 0 {
 		return
 	}
+	if !view.Open && !view.Broken {
+		// It forms or closes; its members tell how far it is.
+		return
+	}
 	g := &Group{Name: view.Name, Service: view.Service, Model: view.Model, Epoch: view.Epoch, Since: p.msg.Now, State: Open, FailureDomain: view.FailureDomain, adopted: true}
 	for _, id := range view.Members {
 		g.Members = append(g.Members, Member{id, p.byID[id].View.Born})
--- a/internal/placer/bench_test.go
+++ b/internal/placer/bench_test.go
@@ -26,4 +26,5 @@
 }
 
 func BenchmarkPlan72(b *testing.B)   { benchmarkPlan(b, 4, 18) }
+func BenchmarkPlan380(b *testing.B)  { benchmarkPlan(b, 20, 19) }
 func BenchmarkPlan1700(b *testing.B) { benchmarkPlan(b, 12, 142) }
--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -147,7 +147,7 @@
 		if !e.alive || e.cut {
 			seen.Seen = w.now - time.Hour
 			seen.Failing = w.now - time.Hour
-			seen.Misses = leastMisses
+			seen.Misses = LeastMisses
 		}
 		msg.Endpoints = append(msg.Endpoints, seen)
 	}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -196,11 +196,12 @@
 		return false
 	}
 	var best []*Group
+	groups := p.leastBusy()
 	for _, domain := range domains {
 		if p.giving(domain) || p.gaveLately(domain) {
 			continue
 		}
-		donors := p.donors(domain, needy, len(p.warm(free[domain], needy)))
+		donors := p.donors(groups, domain, needy, len(p.warm(free[domain], needy)))
 		if donors != nil && (best == nil || len(donors) < len(best)) {
 			best = donors
 		}
@@ -247,7 +248,7 @@
 // donors returns the groups of a domain whose members complete a group of the
 // neediest model beside the free ones, or nil where there are none or the
 // worst-served model would not gain by it.
-func (p *Placer) donors(domain string, needy describer.Model, free int) []*Group {
+func (p *Placer) donors(groups []*Group, domain string, needy describer.Model, free int) []*Group {
 	var donors []*Group
 	held := p.ratios()
 	before := held[needy.Name]
@@ -255,7 +256,7 @@
 	if before == 0 {
 		most = needy.Size
 	}
-	for _, g := range p.leastBusy() {
+	for _, g := range groups {
 		model, ok := p.msg.Engine.Model(g.Model)
 		if !ok || g.FabricDomain != domain || !p.mayGive(g, needy) || len(donors) == most {
 			continue
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -211,12 +211,12 @@
 	return sound
 }
 
-// leastMisses is how many calls in a row show that an endpoint does not answer:
+// LeastMisses is how many calls in a row show that an endpoint does not answer:
 // one may be late since this process is.
-const leastMisses = 2
+const LeastMisses = 2
 
 func (p *Placer) isSilent(e tracker.Endpoint) bool {
-	return e.Failing != 0 && e.Misses >= leastMisses && p.msg.Now-e.Failing > p.options.silentAfter && p.msg.Now-e.Seen > p.options.silentAfter
+	return e.Failing != 0 && e.Misses >= LeastMisses && p.msg.Now-e.Failing > p.options.silentAfter && p.msg.Now-e.Seen > p.options.silentAfter
 }
 
 // inGroup reports whether the last report of a member shows it in its group.
--- a/internal/placer/scale_test.go
+++ b/internal/placer/scale_test.go
@@ -118,7 +118,7 @@
 	msg.Endpoints[1].Misses = 1
 	p.Update(msg)
 	assert.Equal(t, p.Groups()[0].State, Open)
-	msg.Endpoints[1].Misses = leastMisses
+	msg.Endpoints[1].Misses = LeastMisses
 	p.Update(msg)
 	assert.Equal(t, p.Groups()[0].State, Closing)
 }
@@ -226,3 +226,35 @@
 	}
 	assert.DeepEqual(t, staged(New(1).Update(msg)), map[string]string{"e7": "large"})
 }
+
+// TestFormingGroupsSurviveAChangeOfLeader has a leader replaced while groups form:
+// those whose members are all under way go on.
+func TestFormingGroupsSurviveAChangeOfLeader(t *testing.T) {
+	w := busy()
+	head := w.headOf("large")
+	w.crash(head.members[1])
+	forming := ""
+	for forming == "" {
+		w.step()
+		for _, g := range w.placer.Groups() {
+			if g.State == Forming {
+				forming = g.Name
+			}
+		}
+	}
+	w.step()
+	var known []messenger.GroupView
+	for _, g := range w.placer.Groups() {
+		view := messenger.GroupView{Name: g.Name, Epoch: g.Epoch, Service: g.Service, Model: g.Model, Open: g.State == Open}
+		view.Members = names(g.Members)
+		known = append(known, view)
+	}
+	w.elect()
+	msg := w.plan()
+	msg.Known = known
+	w.placer.Update(msg)
+	g, stands := w.group(forming)
+	assert.Assert(t, stands && g.State != Closing, "%s ended: %s", forming, g.Reason)
+	w.run(5 * time.Second)
+	assert.DeepEqual(t, w.broken, []string(nil))
+}
--- a/internal/placer/stage.go
+++ b/internal/placer/stage.go
@@ -25,12 +25,13 @@
 		p.stageOne(c.host, c.model, p.msg.Engine.LoadsAtOnce)
 	}
 	held := p.memberships()
+	needs := p.byNeed()
 	for _, e := range p.msg.Endpoints {
 		g := held[e.View.Instance]
 		if g == nil || g.State != Open || !p.mayLoad(e) {
 			continue
 		}
-		if model, ok := p.toStage(e); ok {
+		if model, ok := toStage(e, needs); ok {
 			p.stageOne(e, model, p.msg.Engine.LoadsAtOnce/groupedPart)
 		}
 	}
@@ -79,9 +80,9 @@
 const earlyPace = 2
 
 // toStage returns the neediest model that a host in a group should load, or
-// false where it holds another one already.
-func (p *Placer) toStage(e tracker.Endpoint) (describer.Model, bool) {
-	for _, model := range p.byNeed() {
+// false where it holds another one already. The models are in order of need.
+func toStage(e tracker.Endpoint, needs []describer.Model) (describer.Model, bool) {
+	for _, model := range needs {
 		switch {
 		case slices.Contains(e.Report.Models, model.Name):
 		case slices.Contains(e.Report.Staged, model.Name):
