Idle endpoints are read less often where there are hundreds

Change: idle endpoints, which announce themselves, share 300 calls a second with those that change; the others keep their pace up to 800.

Conclusion: the leader's first second goes to what clients wait for.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -32,9 +32,12 @@
 	paceHead = 200 * time.Millisecond
 	// paceIdle is the pace for all other endpoints.
 	paceIdle = 500 * time.Millisecond
-	// defaultMost is the number of calls a second to which the paces are
-	// stretched: above what a hundred endpoints need at their full pace.
-	defaultMost = 800
+	// most is the number of calls a second to which the paces are
+	// stretched: above what a hundred endpoints need while many of them change.
+	most = 800
+	// mostIdle is the number above which idle endpoints are read less
+	// often: above what a hundred of them need.
+	mostIdle = 300
 	// mostFlying bounds the calls under way: more of them only wait for each other
 	// in this process, and time out.
 	mostFlying = 48
@@ -93,25 +96,13 @@
 
 // Prober remembers when endpoints were read. It is not safe for concurrent use.
 type Prober struct {
-	most   float64
 	asked  map[string]time.Duration
 	flying map[string]bool
 }
 
-// Option changes a setting of a Prober.
-type Option func(*Prober)
-
-// WithMost sets the calls a second above which all but urgent paces are
-// stretched.
-func WithMost(n float64) Option { return func(p *Prober) { p.most = n } }
-
 // New returns a prober that has read nothing yet.
-func New(opts ...Option) *Prober {
-	p := &Prober{most: defaultMost, asked: map[string]time.Duration{}, flying: map[string]bool{}}
-	for _, opt := range opts {
-		opt(p)
-	}
-	return p
+func New() *Prober {
+	return &Prober{asked: map[string]time.Duration{}, flying: map[string]bool{}}
 }
 
 // Update takes one message and returns the probes that are due.
@@ -127,7 +118,7 @@
 
 func (p *Prober) tick(msg TickMsg) []Probe {
 	p.forget(msg.Endpoints)
-	stretch := p.stretch(msg)
+	paces := stretch(msg)
 	var due []Probe
 	for _, e := range msg.Endpoints {
 		id := e.View.Instance
@@ -136,7 +127,7 @@
 			continue
 		}
 		at, asked := p.asked[id]
-		if e.Refused || p.flying[id] || (asked && msg.Now < at+stretch.pace(role)) {
+		if e.Refused || p.flying[id] || (asked && msg.Now < at+paces.pace(role)) {
 			continue
 		}
 		p.asked[id] = msg.Now
@@ -154,7 +145,7 @@
 // endpoints first, since they announce themselves.
 type stretches struct{ idle, others float64 }
 
-func (p *Prober) stretch(msg TickMsg) stretches {
+func stretch(msg TickMsg) stretches {
 	idle, others := 0.0, 0.0
 	for _, e := range msg.Endpoints {
 		switch role := roleOf(msg, e); {
@@ -166,8 +157,8 @@
 		}
 	}
 	slowest := float64(longestPace) / float64(paceIdle)
-	s := stretches{idle: min(max(idle/max(p.most-others, 1), 1), slowest)}
-	s.others = max(others/max(p.most-idle/s.idle, 1), 1)
+	s := stretches{idle: min(max(idle/max(mostIdle-others, 1), 1), slowest)}
+	s.others = max(others/max(most-idle/s.idle, 1), 1)
 	return s
 }
 
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -45,8 +45,8 @@
 		}
 		total, _ := drive(New(), list, roles, 10*time.Second)
 		// Each endpoint is read once at first, and once in the longest pace.
-		most := max(10*defaultMost, n*int(10*time.Second/longestPace)) + n
-		assert.Assert(t, total <= most, "%d endpoints: %d calls in 10 s", n, total)
+		bound := max(10*most, n*int(10*time.Second/longestPace)) + n
+		assert.Assert(t, total <= bound, "%d endpoints: %d calls in 10 s", n, total)
 	}
 }
 
