--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -82,17 +82,34 @@
 	return ratios
 }
 
-// Needs returns for each model the instances held, wanted and kept busy.
+// Needs returns for each model the instances held, wanted and kept busy, and
+// those that could join a group of it without a load, in all and in the fabric
+// domain that has most.
 func (p *Placer) Needs() string {
 	var parts []string
 	ratios := p.ratios()
 	for _, m := range p.msg.Engine.Models {
 		wanted := p.wanted(m)
-		parts = append(parts, fmt.Sprintf("%s:%.0f/%.1f/%.1f", m.Name, ratios[m.Name]*max(wanted, 1), wanted, p.msg.Demand[m.Name]))
+		warm, most := p.warmCounts(m)
+		parts = append(parts, fmt.Sprintf("%s:%.0f/%.1f/%.1f/%d/%d", m.Name, ratios[m.Name]*max(wanted, 1), wanted, p.msg.Demand[m.Name], warm, most))
 	}
 	return strings.Join(parts, ",")
 }
 
+// warmCounts counts the sound instances that hold a model, in all and in the
+// fabric domain that has most.
+func (p *Placer) warmCounts(model describer.Model) (all, most int) {
+	domains := map[string]int{}
+	for _, e := range p.msg.Endpoints {
+		if p.health(Member{e.View.Instance, e.View.Born}) == sound && p.readyIn(e, model) < model.Load {
+			all++
+			domains[e.Report.FabricDomain]++
+			most = max(most, domains[e.Report.FabricDomain])
+		}
+	}
+	return all, most
+}
+
 // wanted returns the instances that a model should have: its part of all by
 // the declared shares, or, once there is demand, what keeps its groups busy and
 // a reserve that grows with the square root of that number of groups, so that
