--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -252,11 +252,12 @@
 }
 
 // settled reports whether this leader has read enough to plan: each endpoint has
-// said what it does, or does not answer. Once it has, endpoints that come later
-// hold no plan back. mu is held.
+// said what it does, or does not answer. Once clients are served, endpoints that
+// come later hold no plan back; before, groups are better formed of all. mu is
+// held.
 func (d *Director) settled() bool {
 	f := &d.fleet
-	f.settled = f.settled || d.heardEnough()
+	f.settled = (f.settled && d.state.Traffic()) || d.heardEnough()
 	return f.settled
 }
 
--- a/internal/director/round_test.go
+++ b/internal/director/round_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 
+	"papayaseam/internal/cataloguer"
 	"papayaseam/internal/describer"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/placer"
@@ -293,6 +294,20 @@
 	d.leading, d.leadSince = true, now()-settleMost
 	d.fleet.lastNew = now() - settleMost
 	assert.Assert(t, d.settled())
+	d.state.Update(cataloguer.CommandMsg{Command: messenger.FleetCommand{Traffic: true}})
 	d.table().Update(tracker.AnnounceMsg{Now: now(), Endpoint: messenger.EndpointView{Instance: "e", Born: 5, Address: "e", Service: "s"}})
 	assert.Assert(t, d.settled())
 }
+
+// TestFirstGroupsWaitForAllEndpoints is the first start: endpoints come one after
+// the other, and the larger groups need many.
+func TestFirstGroupsWaitForAllEndpoints(t *testing.T) {
+	d, err := New(Config{Name: "c", Address: "127.0.0.1:1"}, silentEndpoints{}, quiet())
+	assert.NilError(t, err)
+	d.config = &describer.Configuration{Services: []describer.Service{{Name: "s", Engine: &describer.Engine{}}}}
+	d.leading, d.leadSince = true, now()-settleMost
+	d.fleet.lastNew = now() - settleMost
+	assert.Assert(t, d.settled())
+	d.table().Update(tracker.AnnounceMsg{Now: now(), Endpoint: messenger.EndpointView{Instance: "e", Born: 5, Address: "e", Service: "s"}})
+	assert.Assert(t, !d.settled(), "a group of the first endpoints alone")
+}
