Spares hold the model of their domain

A group of 8 that lost a member found 7 survivors and 3 spares without its weights, fell apart into groups of 4, and did not come back (192 to 112).

Change: a load also gains what a model would lack without one of its groups of the domain, where these have no spare: two spares at most, by half.

--- a/internal/placer/scale_test.go
+++ b/internal/placer/scale_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"papayaseam/internal/describer"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/tracker"
 
@@ -258,3 +259,52 @@
 	w.run(5 * time.Second)
 	assert.DeepEqual(t, w.broken, []string(nil))
 }
+
+// shaped returns the view of fabric domains of 19 whose groups are given by size.
+func shaped(domains ...[]int) PlanMsg {
+	engine := testEngine
+	engine.Models = []describer.Model{
+		{Name: "large", Size: 8, Share: 0.5, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
+		{Name: "small", Size: 4, Share: 0.5, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
+	}
+	engine.LoadsPerSec, engine.LoadsAtOnce = 32, 32
+	msg := PlanMsg{Now: time.Second, Service: "s", Engine: engine}
+	names := map[int]string{8: "large", 4: "small"}
+	for d, sizes := range domains {
+		var groups []messenger.EndpointReport
+		for n, size := range sizes {
+			for rank := range size {
+				model := names[size]
+				other := map[string]string{"large": "small", "small": "large"}[model]
+				groups = append(groups, messenger.EndpointReport{
+					Group: fmt.Sprintf("%s/%d", model, 10*d+n+1), Epoch: 10*d + n + 1, Rank: rank, State: MemberReady, Models: []string{model}, Staged: []string{other},
+				})
+				if rank == 0 {
+					groups[len(groups)-1].State = MemberOpen
+				}
+			}
+		}
+		for i := range 19 {
+			e := tracker.Endpoint{View: messenger.EndpointView{Instance: fmt.Sprintf("e%d-%02d", d, i), Born: 1, Service: "s"}, ReportAt: time.Second, Seen: time.Second}
+			if i < len(groups) {
+				e.Report = groups[i]
+			}
+			e.Report.FabricDomain = fmt.Sprint(d)
+			msg.Endpoints = append(msg.Endpoints, e)
+		}
+	}
+	return msg
+}
+
+// TestSparesHoldTheModelOfTheirDomain has domains of 8 + 8 + 3 and 4 + 4 + 4 + 4 + 3:
+// a group of the large model that loses a member is whole again only if a spare
+// of its domain holds it.
+func TestSparesHoldTheModelOfTheirDomain(t *testing.T) {
+	models := staged(New(1).Update(shaped([]int{8, 8}, []int{4, 4, 4, 4})))
+	spares := map[string]int{}
+	for id, model := range models {
+		spares[id[:2]+model]++
+	}
+	assert.Assert(t, spares["e0large"] >= mostSpares, "%v", spares)
+	assert.Equal(t, spares["e1small"], 3, "%v", spares)
+}
--- a/internal/placer/stage.go
+++ b/internal/placer/stage.go
@@ -20,8 +20,22 @@
 // losses. Before there is traffic they begin at a quicker pace.
 func (p *Placer) stage() {
 	p.forgetLoads()
-	for _, c := range p.candidates() {
+	view := p.copies()
+	for _, c := range p.candidates(view) {
+		if p.storeBusy() {
+			return
+		}
+		// Loads that were begun for its domain meanwhile may have left it another.
+		c, ok := p.bestLoad(c.host, view)
+		if !ok {
+			continue
+		}
 		p.stageOne(c)
+		at := place{c.host.Report.FabricDomain, c.model.Name}
+		view.warm[at]++
+		if view.held[c.host.View.Instance] == nil {
+			view.spare[at]++
+		}
 	}
 }
 
@@ -40,9 +54,6 @@
 }
 
 func (p *Placer) stageOne(c candidate) {
-	if p.storeBusy() {
-		return
-	}
 	id := c.host.View.Instance
 	p.staging[id] = stage{p.msg.Now, c.model.Name}
 	p.loads = append(p.loads, p.msg.Now)
@@ -72,9 +83,8 @@
 
 // candidates returns for each host that may load the load that gains most, the
 // most gainful first.
-func (p *Placer) candidates() []candidate {
+func (p *Placer) candidates(view copies) []candidate {
 	var list []candidate
-	view := p.copies()
 	for _, e := range p.msg.Endpoints {
 		g := view.held[e.View.Instance]
 		if !p.mayLoad(e) || (g != nil && g.State != Open) {
@@ -97,10 +107,17 @@
 	ratios map[string]float64
 	hosts  map[string]int // hosts counts the sound hosts of a fabric domain.
 	warm   map[place]int  // warm counts those that hold or load a model and serve in no group of it.
+	spare  map[place]int  // spare counts those of them that are in no group at all.
+	groups map[place]int  // groups counts the groups of a model in a fabric domain.
 }
 
 func (p *Placer) copies() copies {
-	c := copies{held: p.memberships(), ratios: p.ratios(), hosts: map[string]int{}, warm: map[place]int{}}
+	c := copies{held: p.memberships(), ratios: p.ratios(), hosts: map[string]int{}, warm: map[place]int{}, spare: map[place]int{}, groups: map[place]int{}}
+	for _, g := range p.groups {
+		if g.State != Closing {
+			c.groups[place{g.FabricDomain, g.Model}]++
+		}
+	}
 	for _, e := range p.msg.Endpoints {
 		if e.ReportAt == 0 || p.health(Member{e.View.Instance, e.View.Born}) != sound {
 			continue
@@ -109,9 +126,13 @@
 		c.hosts[domain]++
 		for _, model := range p.msg.Engine.Models {
 			holds := p.staging[e.View.Instance].model == model.Name || p.readyIn(e, model) < model.Load
-			if g := c.held[e.View.Instance]; holds && (g == nil || g.Model != model.Name) {
+			g := c.held[e.View.Instance]
+			if holds && (g == nil || g.Model != model.Name) {
 				c.warm[place{domain, model.Name}]++
 			}
+			if holds && g == nil {
+				c.spare[place{domain, model.Name}]++
+			}
 		}
 	}
 	return c
@@ -154,17 +175,31 @@
 	leastDeficit = 0.05
 )
 
+// lossLikely is how likely a group loses a member while a copy is kept for it.
+const lossLikely = 0.5
+
 // gain is what one more copy of a model in a domain is worth a second: what the
 // model lacks, times the instances that the next group serves with, by the loads
-// and the time until it is whole.
+// and the time until it is whole; or, where its groups there have no spare, what
+// it would lack without one of them.
 func (p *Placer) gain(model describer.Model, domain string, view copies) float64 {
-	loads := model.Size - view.warm[place{domain, model.Name}]%model.Size
+	at := place{domain, model.Name}
+	size := float64(model.Size)
+	ratio := view.ratios[model.Name]
+	loads := model.Size - view.warm[at]%model.Size
 	absent := max(model.Size-view.hosts[domain], 0)
 	takes := model.Load + time.Duration(absent)*missingCost
-	deficit := max(otherModelBelow-view.ratios[model.Name], leastDeficit)
-	return deficit * float64(model.Size) / float64(loads) / takes.Seconds()
+	worth := max(otherModelBelow-ratio, leastDeficit) * size / float64(loads)
+	if view.spare[at] < min(view.groups[at], mostSpares) {
+		without := ratio - size/max(p.wanted(model), 1)
+		worth = max(worth, lossLikely*size*max(otherModelBelow-without, leastDeficit))
+	}
+	return worth / takes.Seconds()
 }
 
+// mostSpares is how many spares a domain keeps for the groups of one model.
+const mostSpares = 2
+
 // stage is one load of a host.
 type stage struct {
 	at    time.Duration
