An endpoint that has just opened gets no more than its fair part

In the module test such a group gets 5.4 times its fair part in its first 200 ms.

Conclusion: fullness alone is no measure of how soon a group begins.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -343,13 +343,14 @@
 // with the same old reports do not all go to the emptiest one.
 func (c *Chooser) Pick(want Want) (Target, bool) {
 	total := 0.0
+	most := c.mostFree(want)
 	weights := make([]float64, len(c.order))
 	for i, id := range c.order {
 		k := c.candidates[id]
 		if k.service != want.Service || k.model != want.Model || slices.Contains(want.Avoid, id) || k.until > want.Now {
 			continue
 		}
-		weights[i] = c.weight(k, want.Urgency)
+		weights[i] = c.weight(k, want.Urgency, most)
 		total += weights[i]
 	}
 	if total <= 0 {
@@ -398,11 +399,28 @@
 // comes once the preferred ones are nearly full.
 const homeFactor = 60
 
+// mostFree is the largest free part that counts, by the mean of all endpoints
+// that serve the request's model: one that has just opened would else get the
+// requests of all entries at once, and read their prompts late.
+func (c *Chooser) mostFree(want Want) float64 {
+	sum, n := 0.0, 0
+	for _, k := range c.candidates {
+		if k.grouped && k.service == want.Service && k.model == want.Model {
+			sum += max(1-float64(k.running())/float64(k.slots), 0)
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return c.options.ramp * sum / float64(n)
+}
+
 // weight is the square of an endpoint's free part, larger in the own failure
 // domain, since bytes between domains are dear.
-func (c *Chooser) weight(k *candidate, urgency Urgency) float64 {
+func (c *Chooser) weight(k *candidate, urgency Urgency, most float64) float64 {
 	places := c.places(k, urgency)
-	free := float64(places-k.running()) / float64(places)
+	free := min(float64(places-k.running())/float64(places), most)
 	full := k.grouped && (k.own >= c.ownPlaces(k) || (urgency != Begun && k.queued > 0))
 	if free <= 0 || full {
 		return 0
--- a/internal/chooser/options.go
+++ b/internal/chooser/options.go
@@ -26,6 +26,8 @@
 	// defaultLeastHomes lets an entry spread what it sends where its failure domain
 	// has few groups of a model.
 	defaultLeastHomes = 4
+	// defaultRamp counts no endpoint as freer than the mean of all.
+	defaultRamp = 1
 	// defaultRestFirst is how long an endpoint rests after its first failure.
 	defaultRestFirst = 100 * time.Millisecond
 	// defaultRestMost bounds the rest, so that a mended endpoint serves again.
@@ -44,12 +46,13 @@
 	restMost     time.Duration
 	name         string
 	leastHomes   int
+	ramp         float64
 }
 
 func defaults() options {
 	return options{
 		random: rand.New(rand.NewPCG(1, 1)), ownDomain: defaultOwnDomain, waitingPart: defaultWaitingPart,
-		sparePart: defaultSparePart, patientShare: defaultPatientShare, reportLag: defaultReportLag, ownFactor: defaultOwnFactor, restFirst: defaultRestFirst, restMost: defaultRestMost, leastHomes: defaultLeastHomes,
+		sparePart: defaultSparePart, patientShare: defaultPatientShare, reportLag: defaultReportLag, ownFactor: defaultOwnFactor, restFirst: defaultRestFirst, restMost: defaultRestMost, leastHomes: defaultLeastHomes, ramp: defaultRamp,
 	}
 }
 
@@ -68,6 +71,9 @@
 // none it prefers only those of its own failure domain, by their factor.
 func WithLeastHomes(n int) Option { return func(o *options) { o.leastHomes = n } }
 
+// WithRamp sets how far above the mean of all the free part of an endpoint counts.
+func WithRamp(factor float64) Option { return func(o *options) { o.ramp = factor } }
+
 // WithOwnDomain sets how much likelier an endpoint of the own failure domain
 // is than an equal one elsewhere.
 func WithOwnDomain(factor float64) Option { return func(o *options) { o.ownDomain = factor } }
