--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -75,6 +75,9 @@
 	if e := command.Endpoint; e != nil {
 		c.noteEndpoint(*e)
 	}
+	for _, e := range command.Endpoints {
+		c.noteEndpoint(e)
+	}
 	return changed
 }
 
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -231,7 +231,8 @@
 	} else {
 		defer func() { _ = d.journal.Close() }()
 		d.begin("plan", func() { repeatOrWoken(ctx, planEvery, d.wake, d.plan) })
-		d.begin("poll", func() { repeat(ctx, pollEvery, d.poll) })
+		d.begin("poll", func() { repeatOrWoken(ctx, pollEvery, make(chan struct{}), d.poll) })
+		d.begin("remember", func() { repeat(ctx, rememberEvery, d.commitRemembered) })
 		d.begin("enrol", func() { repeat(ctx, enrolEvery, d.enrol) })
 		err = d.loop(ctx)
 	}
@@ -291,8 +292,8 @@
 // many times what it took, however often it is woken.
 const restFactor = 9
 
-// repeatOrWoken is repeat, but a word on the channel brings the next step
-// forward.
+// repeatOrWoken is repeat for steps that grow with the fleet: it rests between
+// them, and a word on the channel brings the next one forward.
 func repeatOrWoken(ctx context.Context, every time.Duration, wake <-chan struct{}, step func(context.Context)) {
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -85,8 +85,9 @@
 	partial      bool // partial tells that groups which are not known here may stand.
 	settled      bool // settled tells that this leader has read enough to plan.
 	censusAt     time.Duration
-	remembered   map[string]int // remembered maps identities to the boots whose addresses are in the log.
-	trafficAt    time.Duration  // trafficAt is when the log was last asked to note that clients are served.
+	remembered   map[string]int           // remembered maps identities to the boots whose addresses are in the log.
+	unremembered []messenger.EndpointView // unremembered are boots whose addresses are yet to be committed.
+	trafficAt    time.Duration            // trafficAt is when the log was last asked to note that clients are served.
 }
 
 func newFleet() fleet {
@@ -156,6 +157,7 @@
 	f.prober = prober.New()
 	f.relays = map[string]relayState{}
 	f.remembered = map[string]int{}
+	f.unremembered = nil
 	f.settled = false
 	f.known = 0
 	f.inherited = len(f.viewer.Groups()) > 0 && !f.viewer.Partial()
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -247,6 +247,9 @@
 	if e := command.Endpoint; e != nil {
 		d.noteRemembered(*e)
 	}
+	for _, e := range command.Endpoints {
+		d.noteRemembered(e)
+	}
 	if gone := command.Departure; gone != nil {
 		d.table().Update(tracker.LeaveMsg{ID: gone.Instance, Born: gone.Born})
 	}
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"papayaseam/internal/cataloguer"
@@ -308,26 +309,47 @@
 	if changed {
 		d.wakePlan()
 	}
-	d.remember(ctx, view)
+	d.remember(view)
 	return nil
 }
 
-// remember commits where a new boot of an endpoint is, beside all else; mu is
-// held.
-func (d *Director) remember(ctx context.Context, view messenger.EndpointView) {
+// remember lets the log know where a new boot of an endpoint is, beside all else;
+// mu is held.
+func (d *Director) remember(view messenger.EndpointView) {
 	if view.Leaving || view.Address == "" || d.fleet.remembered[view.Instance] == view.Born {
 		return
 	}
 	d.fleet.remembered[view.Instance] = view.Born
 	view.Sequence = 0
-	ctx = context.WithoutCancel(ctx)
-	d.beginLocked("remember", func() {
-		if _, err := d.command(ctx, messenger.FleetCommand{Endpoint: &view}); err != nil {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			delete(d.fleet.remembered, view.Instance)
-		}
-	})
+	d.fleet.unremembered = append(d.fleet.unremembered, view)
+}
+
+const (
+	// rememberEvery lets endpoints that start together share a place in the log.
+	rememberEvery = 50 * time.Millisecond
+	// rememberMost bounds the endpoints in one entry of the log.
+	rememberMost = 256
+)
+
+// commitRemembered commits the boots of endpoints that were heard of late.
+func (d *Director) commitRemembered(ctx context.Context) {
+	d.mu.Lock()
+	n := min(len(d.fleet.unremembered), rememberMost)
+	views := slices.Clone(d.fleet.unremembered[:n])
+	d.fleet.unremembered = d.fleet.unremembered[n:]
+	leading := d.leading
+	d.mu.Unlock()
+	if n == 0 || !leading {
+		return
+	}
+	if _, err := d.command(ctx, messenger.FleetCommand{Endpoints: views}); err == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, view := range views {
+		delete(d.fleet.remembered, view.Instance)
+	}
 }
 
 // Declare takes a whole configuration. It returns describer.ErrInvalid for one
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -224,6 +224,9 @@
 	// Endpoint corresponds to the JSON schema field "endpoint".
 	Endpoint *EndpointView `json:"endpoint,omitempty,omitzero"`
 
+	// Endpoints that were heard at about the same time.
+	Endpoints []EndpointView `json:"endpoints,omitempty,omitzero"`
+
 	// Clients are served from here on.
 	Traffic bool `json:"traffic,omitempty,omitzero"`
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -13,7 +13,6 @@
 package tracker
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -111,12 +110,14 @@
 // Tracker is the table. It is not safe for concurrent use.
 type Tracker struct {
 	endpoints map[string]*Endpoint
-	gone      map[string]int // gone maps identities to the newest boot that has ended.
+	order     []string          // order holds the identities in the table, sorted.
+	at        map[string]string // at maps addresses to the identities that hold them.
+	gone      map[string]int    // gone maps identities to the newest boot that has ended.
 }
 
 // New returns an empty table.
 func New() *Tracker {
-	return &Tracker{endpoints: map[string]*Endpoint{}, gone: map[string]int{}}
+	return &Tracker{endpoints: map[string]*Endpoint{}, at: map[string]string{}, gone: map[string]int{}}
 }
 
 // Endpoint returns an endpoint by its identity.
@@ -130,11 +131,10 @@
 
 // Endpoints returns all endpoints, sorted by identity.
 func (t *Tracker) Endpoints() []Endpoint {
-	list := make([]Endpoint, 0, len(t.endpoints))
-	for _, e := range t.endpoints {
-		list = append(list, *e)
+	list := make([]Endpoint, 0, len(t.order))
+	for _, id := range t.order {
+		list = append(list, *t.endpoints[id])
 	}
-	slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.View.Instance, b.View.Instance) })
 	return list
 }
 
@@ -171,10 +171,14 @@
 	if !t.takeAddress(view) {
 		return false
 	}
+	if known {
+		t.leaveAddress(old.View)
+	}
 	if !known || old.View.Born != view.Born {
 		old = &Endpoint{}
-		t.endpoints[view.Instance] = old
+		t.add(view.Instance, old)
 	}
+	t.at[view.Address] = view.Instance
 	view.Leaving = view.Leaving || old.View.Leaving
 	before := old.View
 	before.Sequence = view.Sequence
@@ -252,18 +256,42 @@
 // takeAddress ends earlier boots at the address, and reports false where a
 // later boot holds it.
 func (t *Tracker) takeAddress(view messenger.EndpointView) bool {
-	for id, other := range t.endpoints {
-		if id == view.Instance || other.View.Address != view.Address {
-			continue
-		}
-		if other.View.Born > view.Born {
-			return false
-		}
-		t.end(id)
+	id, held := t.at[view.Address]
+	if !held || id == view.Instance {
+		return true
 	}
+	if t.endpoints[id].View.Born > view.Born {
+		return false
+	}
+	t.end(id)
 	return true
 }
 
+// add puts an endpoint into the table.
+func (t *Tracker) add(id string, e *Endpoint) {
+	if _, known := t.endpoints[id]; !known {
+		i, _ := slices.BinarySearch(t.order, id)
+		t.order = slices.Insert(t.order, i, id)
+	}
+	t.endpoints[id] = e
+}
+
+// remove takes an endpoint out of the table.
+func (t *Tracker) remove(id string) {
+	if i, ok := slices.BinarySearch(t.order, id); ok {
+		t.order = slices.Delete(t.order, i, i+1)
+	}
+	t.leaveAddress(t.endpoints[id].View)
+	delete(t.endpoints, id)
+}
+
+// leaveAddress notes that an endpoint is no longer at its address.
+func (t *Tracker) leaveAddress(view messenger.EndpointView) {
+	if t.at[view.Address] == view.Instance {
+		delete(t.at, view.Address)
+	}
+}
+
 // take stores a state and reports whether its membership changed.
 func (t *Tracker) take(e *Endpoint, report messenger.EndpointReport, now time.Duration) bool {
 	changed := e.Report.Group != report.Group || e.Report.Epoch != report.Epoch || e.Report.State != report.State
@@ -298,7 +326,7 @@
 // end drops a boot whose address another one has taken.
 func (t *Tracker) end(id string) {
 	t.gone[id] = max(t.gone[id], t.endpoints[id].View.Born)
-	delete(t.endpoints, id)
+	t.remove(id)
 }
 
 func (t *Tracker) report(msg ReportMsg) bool {
@@ -345,7 +373,7 @@
 	changed := false
 	for id, e := range t.endpoints {
 		if msg.Now-e.Seen > msg.After {
-			delete(t.endpoints, id)
+			t.remove(id)
 			changed = true
 		}
 	}
