--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -173,6 +173,7 @@
 	if e.staging != "" && w.now >= e.stageAt {
 		e.report.Staged = []string{e.staging}
 		e.staging = ""
+		e.report.Busy = false
 	}
 	w.standStill(e)
 }
@@ -257,6 +258,7 @@
 		if e.staging == "" {
 			model, _ := testEngine.Model(o.Model)
 			e.staging, e.stageAt = o.Model, w.now+model.Load
+			e.report.Busy = true
 			w.loads++
 			e.report.Orders++
 		}
