Seeds without a disk are told who leads

Ruled out: the log (35 read at once), the leader's authority (plans went on).

Change: a leader tells seeds that it does not hear from that it leads.

Conclusion: who is named to others must be able to find the voters.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -233,6 +233,7 @@
 		d.begin("plan", func() { repeatOrWoken(ctx, planEvery, d.wake, d.plan) })
 		d.begin("poll", func() { repeatOrWoken(ctx, pollEvery, make(chan struct{}), d.poll) })
 		d.begin("remember", func() { repeat(ctx, rememberEvery, d.commitRemembered) })
+		d.begin("hint", func() { repeat(ctx, hintEvery, d.hint) })
 		d.begin("enrol", func() { repeat(ctx, enrolEvery, d.enrol) })
 		err = d.loop(ctx)
 	}
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -26,6 +26,7 @@
 	transporter.Handle(mux, "POST /fleet/sync", d.Sync)
 	transporter.Handle(mux, "POST /fleet/follow", d.lead)
 	transporter.Handle(mux, "POST /fleet/digest", d.digest)
+	transporter.Handle(mux, "POST /fleet/hint", d.takeHint)
 	transporter.Handle(mux, "POST /fleet/announce", d.announce)
 	transporter.Handle(mux, "POST /fleet/document", d.document)
 }
