--- a/internal/director/collect.go
+++ b/internal/director/collect.go
@@ -27,7 +27,7 @@
 // collector is what a control process that does not lead has heard from the
 // entries and endpoints of its failure domain, for its next digest.
 type collector struct {
-	taken   map[string]takenWord
+	taken   map[string]takenAnnouncement
 	alive   map[string]messenger.Liveness
 	demand  map[demandKey]float64
 	entries int // entries is the number of entries that the leader last told.
@@ -35,27 +35,27 @@
 
 type demandKey struct{ service, model string }
 
-// takenWord is the last announcement of an endpoint that a leader took.
-type takenWord struct {
+// takenAnnouncement is the last announcement of an endpoint that a leader took.
+type takenAnnouncement struct {
 	leader string
 	view   messenger.EndpointView
 	report messenger.EndpointReport
 }
 
 func newCollector() collector {
-	return collector{taken: map[string]takenWord{}, alive: map[string]messenger.Liveness{}, demand: map[demandKey]float64{}}
+	return collector{taken: map[string]takenAnnouncement{}, alive: map[string]messenger.Liveness{}, demand: map[demandKey]float64{}}
 }
 
-func wordOf(leader string, r messenger.Registration) takenWord {
-	word := takenWord{leader: leader, view: *r.Endpoint}
-	word.view.Sequence = 0
+func announcementOf(leader string, r messenger.Registration) takenAnnouncement {
+	announced := takenAnnouncement{leader: leader, view: *r.Endpoint}
+	announced.view.Sequence = 0
 	if r.Report != nil {
-		word.report = *r.Report
+		announced.report = *r.Report
 	}
-	return word
+	return announced
 }
 
-func (w takenWord) same(other takenWord) bool {
+func (w takenAnnouncement) same(other takenAnnouncement) bool {
 	a, b := w.report, other.report
 	return w.leader == other.leader && w.view == other.view && a.Group == b.Group && a.Epoch == b.Epoch && a.Rank == b.Rank &&
 		a.State == b.State && a.Busy == b.Busy && a.FabricDomain == b.FabricDomain &&
@@ -67,8 +67,8 @@
 func (d *Director) collect(r messenger.Registration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	word, ok := d.collector.taken[r.Endpoint.Instance]
-	news := !ok || r.Gone || r.Endpoint.Leaving || !word.same(wordOf(d.leader, r))
+	announced, ok := d.collector.taken[r.Endpoint.Instance]
+	news := !ok || r.Gone || r.Endpoint.Leaving || !announced.same(announcementOf(d.leader, r))
 	if news || now()-d.roundAt > collectWithin {
 		return false
 	}
@@ -84,7 +84,7 @@
 		delete(d.collector.taken, r.Endpoint.Instance)
 		return
 	}
-	d.collector.taken[r.Endpoint.Instance] = wordOf(leader, r)
+	d.collector.taken[r.Endpoint.Instance] = announcementOf(leader, r)
 }
 
 // ownView is where this process is reached.
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -224,7 +224,7 @@
 	reaped := make(chan struct{})
 	go d.reapUntil(ctx, reaped)
 	d.begin("sync", func() { d.follow(ctx) })
-	d.begin("vigil", func() { repeat(ctx, vigilEvery, d.vigil) })
+	d.begin("confirm", func() { repeat(ctx, confirmEvery, d.keepConfirmed) })
 	var err error
 	if d.journal == nil {
 		<-ctx.Done()
--- a/internal/director/round.go
+++ b/internal/director/round.go
@@ -14,8 +14,8 @@
 	// roundGap bounds the rounds of confirmation, which cost a message to each
 	// voter, whatever number of processes asks.
 	roundGap = 20 * time.Millisecond
-	// vigilEvery is the longest pause between rounds while nobody asks.
-	vigilEvery = 100 * time.Millisecond
+	// confirmEvery is the longest pause between rounds while nobody asks.
+	confirmEvery = 100 * time.Millisecond
 	// actWithin is how long a confirmed leader may act: less than a new leader
 	// waits before its first order.
 	actWithin = 450 * time.Millisecond
@@ -92,16 +92,16 @@
 	return c, nil
 }
 
-// vigil keeps the leader's authority, and passes digests on, while nobody asks.
-func (d *Director) vigil(ctx context.Context) {
+// keepConfirmed keeps the leader's authority, and passes digests on, while nobody asks.
+func (d *Director) keepConfirmed(ctx context.Context) {
 	d.mu.Lock()
-	idle := now()-d.roundAt >= vigilEvery && d.leader != ""
+	idle := now()-d.roundAt >= confirmEvery && d.leader != ""
 	d.mu.Unlock()
 	if !idle {
 		return
 	}
 	if _, err := d.rounds.Do(ctx); err != nil {
-		d.log.Debug("vigil not confirmed", "err", err)
+		d.log.Debug("lead not confirmed", "err", err)
 	}
 }
 
--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// hopeless returns why a group that forms is given up, or an empty string.
-func (p *Placer) hopeless(g *Group) string {
+// formFailure returns why a group that forms is given up, or an empty string.
+func (p *Placer) formFailure(g *Group) string {
 	switch {
 	case g.refused > refusalsBorne:
 		return "its members have seen newer orders"
@@ -69,7 +69,7 @@
 // form orders the members to join until all are ready. The members of an
 // adopted group have joined it before, or never will.
 func (p *Placer) form(g *Group) {
-	if reason := p.hopeless(g); reason != "" {
+	if reason := p.formFailure(g); reason != "" {
 		p.abandon(g, reason)
 		return
 	}
@@ -111,7 +111,7 @@
 
 // open orders the head to serve, as long as all members stay ready.
 func (p *Placer) open(g *Group) {
-	if reason := cmp.Or(p.lost(g), p.hopeless(g)); reason != "" {
+	if reason := cmp.Or(p.lost(g), p.formFailure(g)); reason != "" {
 		p.startClose(g, reason, true)
 		return
 	}
