--- a/internal/placer/census.go
+++ b/internal/placer/census.go
@@ -19,24 +19,17 @@
 
 // Census returns the counts of the last plan.
 func (p *Placer) Census() Census {
-	states := map[string]State{}
-	for _, g := range p.groups {
-		for _, m := range g.Members {
-			if !p.hasParted(g, m) {
-				states[m.Instance] = g.State
-			}
-		}
-	}
+	held := p.memberships()
 	var c Census
 	for _, e := range p.msg.Endpoints {
-		state, grouped := states[e.View.Instance]
+		g := held[e.View.Instance]
 		warm := slices.ContainsFunc(p.msg.Engine.Models, func(m describer.Model) bool { return p.readyIn(e, m) < m.Load })
 		switch h := p.health(Member{e.View.Instance, e.View.Born}); {
 		case h == silent || h == dead:
 			c.Silent++
-		case grouped && state == Open:
+		case g != nil && g.State == Open:
 			c.Open++
-		case grouped:
+		case g != nil:
 			c.Changing++
 		case h == leaving:
 			c.Leaving++
--- a/internal/placer/stage.go
+++ b/internal/placer/stage.go
@@ -20,6 +20,9 @@
 // losses. Before there is traffic they begin at a quicker pace.
 func (p *Placer) stage() {
 	p.forgetLoads()
+	if p.storeBusy() {
+		return
+	}
 	view := p.copies()
 	for _, c := range p.candidates(view) {
 		if p.storeBusy() {
