Placer: remember the model that an endpoint served last

An endpoint that has left a group reports no models any more, and the placer read from the report alone which model it can rejoin in 0.2 s. So a survivor of a lost group counted as holding only what its host has staged, mostly the other model: three survivors of a large group took two members from small groups, and the copies of each model shrank with every loss (13 to 2 of the small model in 15 s).

Ruled out: the weight store is not held back by its count (six loads are under way from second 17 on, each for 16 s; more at once take longer in proportion).

Change: the placer keeps, for each endpoint process, the model of the last group that it was ready in, until it joins another one or ends. The stand-in of the tests now reports as the engines do; the new test has survivors whose hosts staged the other model and fails without the change.

--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -29,6 +29,7 @@
 	highestToken int
 	highestEpoch int
 	members      []string
+	lastModel    string        // lastModel is the model of the last group that the endpoint was ready in.
 	nextAt       time.Duration // nextAt is when the pending state change takes effect.
 	nextState    string        // nextState is the state after a pending join, open or close; "" if none is pending.
 	memberLostAt time.Duration // memberLostAt is when a member of its open group was lost; 0 if none was.
@@ -171,7 +172,8 @@
 		e.nextState = ""
 		if e.report.State == MemberReady {
 			c.recordReady(e)
-			e.report.Models = []string{c.modelOf(e.report.Group)}
+			e.lastModel = c.modelOf(e.report.Group)
+			e.report.Models = []string{e.lastModel}
 		}
 		if e.report.State == MemberOpen {
 			c.checkOpened(e)
@@ -263,6 +265,7 @@
 	case OpLeave:
 		if inGroup {
 			e.report.Group, e.report.Epoch, e.report.State, e.nextState = "", 0, "", ""
+			e.report.Models = nil
 			e.report.Orders++
 		}
 	case OpStage:
@@ -285,7 +288,7 @@
 	model, _ := testEngine.Model(o.Model)
 	joinDuration := model.ColdLoadTime
 	switch {
-	case slices.Contains(e.report.Models, o.Model):
+	case e.lastModel == o.Model:
 		joinDuration = rejoinDuration
 	case slices.Contains(e.report.Staged, o.Model):
 		joinDuration = model.WarmLoadTime
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -25,7 +25,7 @@
 // model.Load if the weights must come from the weight store.
 func (p *Placer) joinTime(e tracker.Endpoint, model describer.Model) time.Duration {
 	switch {
-	case slices.Contains(e.Report.Models, model.Name):
+	case p.servedLast(e, model):
 		return rejoinTime
 	case slices.Contains(e.Report.Staged, model.Name):
 		return model.WarmLoadTime
@@ -33,6 +33,29 @@
 	return model.ColdLoadTime
 }
 
+// servedLast reports whether the last group that an endpoint was ready in served the
+// model. Such an endpoint rejoins without loading weights, also after it has left.
+func (p *Placer) servedLast(e tracker.Endpoint, model describer.Model) bool {
+	return p.lastModels[Member{e.View.Instance, e.View.Born}] == model.Name
+}
+
+// recordLastModels records the model of each endpoint that is ready in a group. It
+// forgets endpoints that are gone and those that are joining another group.
+func (p *Placer) recordLastModels() {
+	known := p.lastModels
+	p.lastModels = map[Member]string{}
+	for _, e := range p.msg.Endpoints {
+		m := Member{e.View.Instance, e.View.Born}
+		switch {
+		case e.Report.State == MemberJoining:
+		case len(e.Report.Models) > 0:
+			p.lastModels[m] = e.Report.Models[0]
+		case known[m] != "":
+			p.lastModels[m] = known[m]
+		}
+	}
+}
+
 // freeEndpoints returns the healthy endpoints that are in no group, by fabric
 // domain.
 func (p *Placer) freeEndpoints() map[string][]tracker.Endpoint {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -145,6 +145,7 @@
 	ended        map[string]bool          // ended holds the names of released groups, which are not adopted again.
 	pendingLoads map[string]pendingLoad   // pendingLoads maps instances to the load that was ordered from them.
 	loadStarts   []time.Duration          // loadStarts are the recent starts of loads from the weight store.
+	lastModels   map[Member]string        // lastModels maps endpoint processes to the model of the last group that they were ready in.
 	preemptedAt  map[string]time.Duration // preemptedAt maps fabric domains to the time at which a group there was last preempted.
 	msg          PlanMsg
 	byID         map[string]tracker.Endpoint // byID holds the endpoints of msg by instance.
@@ -178,6 +179,7 @@
 	for _, e := range msg.Endpoints {
 		p.byID[e.View.Instance] = e
 	}
+	p.recordLastModels()
 	p.adopt()
 	if msg.ObserveOnly {
 		return nil
--- a/internal/placer/stage.go
+++ b/internal/placer/stage.go
@@ -158,7 +158,7 @@
 func (p *Placer) bestLoad(e tracker.Endpoint, counts copyCounts) (loadCandidate, bool) {
 	best := loadCandidate{host: e}
 	for _, model := range p.msg.Engine.Models {
-		if slices.Contains(e.Report.Models, model.Name) {
+		if p.servedLast(e, model) {
 			continue
 		}
 		if slices.Contains(e.Report.Staged, model.Name) {
