Chooser: clients that come back late get a fifth of the slots

Change: overdue requests are accepted up to 0.2 of the slots (0.4 before). The new test has a burst of first requests after all refused clients have come back at once.

Conclusion: kept at 0.2; more of them crowds out timely requests, fewer are refused again without a gain for others.

--- a/internal/chooser/options.go
+++ b/internal/chooser/options.go
@@ -15,7 +15,7 @@
 	// defaultOverdueShare is the share of the slots up to which overdue requests
 	// are accepted. With a larger share, normal requests would start late or be
 	// refused because of them.
-	defaultOverdueShare = 0.4
+	defaultOverdueShare = 0.2
 	// defaultHeadroomDivisor keeps an eighth of the slots free of normal
 	// requests, since a full group cannot start any within its objective.
 	defaultHeadroomDivisor = 8
--- a/internal/chooser/overload_test.go
+++ b/internal/chooser/overload_test.go
@@ -72,3 +72,28 @@
 	assert.Assert(t, limited > asNormal)
 	assert.Assert(t, asNormal > queueing)
 }
+
+// burstShare is the share of the slots of a group that a burst of normal requests
+// finds free, however many overdue requests came before it.
+const burstShare = 2.0 / 3
+
+// TestBurstFindsSlotsAfterOverdueRequests has the clients that were refused while
+// groups were lost come back all at once, just before a burst of first requests.
+func TestBurstFindsSlotsAfterOverdueRequests(t *testing.T) {
+	c := New("d0", WithSeed(7))
+	fleet := newFleet(1, idle)
+	fleet.EntryCount = 1
+	c.Update(fleet)
+	admitted := map[Urgency]int{}
+	for _, urgency := range []Urgency{Overdue, Normal} {
+		for range fleet.Endpoints[0].Slots {
+			target, ok := c.Pick(Request{Service: "s", Model: "m", Now: time.Minute, Urgency: urgency})
+			if ok {
+				c.Update(AttemptStartedMsg{ID: target.ID})
+				admitted[urgency]++
+			}
+		}
+	}
+	assert.Assert(t, admitted[Overdue] > 0)
+	assert.Assert(t, float64(admitted[Normal]) >= burstShare*float64(fleet.Endpoints[0].Slots), "%d normal requests after %d overdue ones", admitted[Normal], admitted[Overdue])
+}
