Gatekeeper: log and count requests that are lost with their endpoint

Change: after a break the entry opens one connection to the endpoint; where nothing listens its process has ended. One line a request with its fingerprint, the boot, and whether it had just begun; papayaseam_endpoint_crashes_total, papayaseam_requests_lost_with_endpoint_total. The fingerprint is the one of the product's own path, now in quarantiner.

--- a/internal/forwarder/api.go
+++ b/internal/forwarder/api.go
@@ -1,8 +1,6 @@
 package forwarder
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -12,6 +10,7 @@
 	"time"
 
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/quarantiner"
 	"papayaseam/internal/registrar"
 	"papayaseam/internal/transporter"
 
@@ -158,13 +157,6 @@
 	return nil
 }
 
-// hashParts returns the SHA-256 digest of the parts in hex, truncated to 12 bytes. It serves
-// as the fingerprint of a request and to identify prompt prefixes.
-func hashParts(parts ...string) string {
-	digest := sha256.Sum256([]byte(strings.Join(parts, "\x00")))
-	return hex.EncodeToString(digest[:12])
-}
-
 // handleChatCompletion serves POST /v1/chat/completions.
 func (f *Forwarder) handleChatCompletion(w http.ResponseWriter, r *http.Request) {
 	request, apiErr := f.newRequest(w, r)
@@ -199,8 +191,8 @@
 	request.repeatable = true
 	request.path = "/v1/chat/completions"
 	request.contentType = "application/json"
-	request.fingerprint = hashParts(request.organisation, request.model, request.adapter, string(body.Messages))
-	request.prefixHash = hashParts(request.model, string(body.Messages[:min(len(body.Messages), prefixHashBytes)]))
+	request.fingerprint = quarantiner.Fingerprint(request.organisation, request.model, request.adapter, string(body.Messages))
+	request.prefixHash = quarantiner.Fingerprint(request.model, string(body.Messages[:min(len(body.Messages), prefixHashBytes)]))
 	return nil
 }
 
@@ -232,7 +224,7 @@
 	}
 	safeMethod := r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
 	request.repeatable = object.Service.Repeatable || safeMethod
-	request.fingerprint = hashParts(request.organisation, request.service, request.method, request.path, string(request.body))
+	request.fingerprint = quarantiner.Fingerprint(request.organisation, request.service, request.method, request.path, string(request.body))
 	return nil
 }
 
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -41,6 +41,7 @@
 // retries the request by itself.
 func (g *Gatekeeper) dispatch(ctx context.Context, e *exchange, target chooser.Target) (*http.Response, ResponseMetadata, verdict, error) {
 	e.attempts++
+	e.attemptEventAt = 0
 	if active := g.active.Load(); e.organisation != "" && g.expired(active) {
 		return nil, ResponseMetadata{}, notExecuted, errors.New("the lease on the configuration has expired")
 	}
@@ -133,12 +134,16 @@
 	response, _, v, err := g.dispatch(ctx, e, target)
 	if v != answered {
 		g.recordAttemptEnd(target, attemptOutcome(ctx, v))
+		if v == mayHaveExecuted {
+			g.inspectBreak(ctx, e, target)
+		}
 		return nil, nil, v, err
 	}
 	body, err := g.readResponseBody(e, response)
 	_ = response.Body.Close()
 	if err != nil {
 		g.recordAttemptEnd(target, attemptOutcome(ctx, mayHaveExecuted))
+		g.inspectBreak(ctx, e, target)
 		return nil, nil, mayHaveExecuted, err
 	}
 	g.recordAttemptEnd(target, chooser.Served)
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -42,6 +42,7 @@
 	service           describer.Service
 	organisation      string
 	body              []byte
+	fingerprint       string // fingerprint caches the result of contentKey.
 	startedAt         time.Duration
 	deadline          time.Duration // deadline is when the client must have its response.
 	attempts          int
@@ -50,6 +51,7 @@
 	responseStarted   bool          // responseStarted means that the header of the response was sent to the client.
 	lastEventID       string        // lastEventID is the id of the last event that the client has.
 	responseHeader    http.Header   // responseHeader is the response header of the latest stream attempt.
+	attemptEventAt    time.Duration // attemptEventAt is when the first event of the current attempt arrived; 0 before.
 	firstEventAt      time.Duration // firstEventAt is when the first event was forwarded; 0 before.
 	lastEventAt       time.Duration // lastEventAt is when the last event was forwarded.
 	longestGap        time.Duration // longestGap is the longest time between two events.
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -102,6 +102,9 @@
 	response, _, v, err := g.dispatch(ctx, e, target)
 	if v != answered {
 		outcome = attemptOutcome(ctx, v)
+		if v == mayHaveExecuted {
+			g.inspectBreak(ctx, e, target)
+		}
 		return false, v, err
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -113,6 +116,7 @@
 	err = g.forwardEvents(e, s, response.Body)
 	if err != nil {
 		outcome = attemptOutcome(ctx, mayHaveExecuted)
+		g.inspectBreak(ctx, e, target)
 		return false, mayHaveExecuted, err
 	}
 	outcome = chooser.Served
@@ -253,6 +257,9 @@
 // writeEvent forwards one event and records its id for a resumption.
 func (g *Gatekeeper) writeEvent(e *exchange, event []byte) error {
 	now := timekeeper.Now()
+	if e.attemptEventAt == 0 {
+		e.attemptEventAt = now
+	}
 	if !e.responseStarted {
 		e.firstEventAt = now
 		g.writeStreamHeader(e)
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -88,6 +88,16 @@
 	return response, classify(err)
 }
 
+// CheckListener opens and closes a connection. It returns ErrUnreachable if that
+// fails, and ErrRefused with it if no process listens at the address.
+func (c *Client) CheckListener(ctx context.Context, address string) error {
+	conn, err := dialCounted(ctx, "tcp", address)
+	if err != nil {
+		return classify(err)
+	}
+	return conn.Close()
+}
+
 // classify tells a failed dial from any later failure.
 func classify(err error) error {
 	if err == nil {
