Gatekeeper: a test of a request that crashes one endpoint after the other fails

The same request comes eight times, each time as a new client attempt, between sound ones. Eight of eight endpoints crash and a sound request is refused (503).

--- a/internal/gatekeeper/crash_test.go
+++ b/internal/gatekeeper/crash_test.go
@@ -1,6 +1,7 @@
 package gatekeeper_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 // crash ends the process of a fake endpoint as seen from outside: its connections
 // break and nothing listens at its address.
 func (e *fakeEndpoint) crash(w http.ResponseWriter, r *http.Request) {
+	e.crashed.Store(true)
 	_ = e.server.Listener.Close()
 	abortConnection(w, r)
 }
@@ -61,3 +63,33 @@
 	assert.NilError(t, err)
 	assert.Assert(t, metricLine(name) != before)
 }
+
+// endedEndpoints returns how many endpoints have crashed.
+func (s *testSystem) endedEndpoints() int {
+	ended := 0
+	for _, e := range s.endpoints {
+		if e.crashed.Load() {
+			ended++
+		}
+	}
+	return ended
+}
+
+// TestRequestThatCrashesEndpointsIsHeldAfterThree guards against a request that
+// crashes what runs it and comes again and again, each time as a new client attempt,
+// until no endpoint is left.
+func TestRequestThatCrashesEndpointsIsHeldAfterThree(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	for range 8 {
+		s.addCrashingEndpoint("/deadly")
+	}
+	s.start()
+	for i := range 8 {
+		_, _, _ = s.call(http.MethodPost, "/verse/deadly", "prompt", "Attempt", fmt.Sprint("deadly", i))
+		response, body, err := s.call(http.MethodPost, fmt.Sprint("/verse/", i), "prompt", "Attempt", fmt.Sprint("sound", i))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, body, completeStream(2))
+	}
+	assert.Equal(t, s.endedEndpoints(), 3)
+}
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,6 +102,7 @@
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
+	crashed  atomic.Bool // crashed means that crash was called.
 }
 
 func newSystem(t *testing.T, lease time.Duration) *testSystem {
