Control counts crashes by content, and entries hold a request after the third

Cause: on the path without side processes nobody counts under which content an endpoint ended. A client attempt is bounded (two endpoints), the request is not. Class of fault: state that belongs to a request's content was kept by attempt and by entry.

Change: quarantiner, a pure table. Entries report what was about to begin, or had just begun, on a process that ended; the control log adds up; all entries refuse content after its third crash, with Retry-After of a minute, and cancel attempts that wait elsewhere. A lost failure domain counts once; content that runs on is cleared; holds end by time. It survives restarts of entries and of all of control, and an entry without control counts for itself.

--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -1,7 +1,8 @@
 // Package cataloguer is the state machine that the replicated control log drives
 // in a deployment without side processes. It holds the newest configuration, the
-// known endpoints, the departures that endpoints announced, and whether the
-// service ever had client traffic.
+// known endpoints, the departures that endpoints announced, the content that is kept
+// from endpoints because it crashes them, and whether the service ever had client
+// traffic.
 //
 // # Usage
 //
@@ -20,6 +21,7 @@
 	"slices"
 
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/quarantiner"
 
 	"github.com/cockroachdb/errors"
 )
@@ -36,10 +38,17 @@
 
 // Cataloguer is the state after the applied commands. It is not safe for
 // concurrent use.
-type Cataloguer struct{ state messenger.FleetState }
+type Cataloguer struct {
+	state      messenger.FleetState
+	quarantine *quarantiner.Table
+}
 
 // New returns a Cataloguer with empty state.
-func New() *Cataloguer { return &Cataloguer{} }
+func New() *Cataloguer { return &Cataloguer{quarantine: quarantiner.New()} }
+
+// Quarantine returns the content that is suspected to crash endpoints. Only Update
+// and ApplyQuarantine may change it.
+func (c *Cataloguer) Quarantine() *quarantiner.Table { return c.quarantine }
 
 // Document returns the newest configuration and its version, or version 0 and an
 // empty document if there is none.
@@ -57,10 +66,16 @@
 }
 
 // Update applies a command and reports whether it changed the document, the
-// departures or the traffic flag. Changes to the endpoints are not reported.
+// departures, the quarantine or the traffic flag. Changes to the endpoints are not
+// reported.
 func (c *Cataloguer) Update(msg CommandMsg) bool {
 	command := msg.Command
 	changed := false
+	if command.Quarantine != nil {
+		before := c.quarantine.Revision()
+		c.updateQuarantine(*command.Quarantine)
+		changed = c.quarantine.Revision() != before
+	}
 	if command.Document != "" && command.Version > c.state.Version {
 		c.state.Version = command.Version
 		c.state.Document = command.Document
@@ -86,6 +101,22 @@
 	return changed
 }
 
+// updateQuarantine applies what entries learned. Crashes come first: content that ran
+// on began after those.
+func (c *Cataloguer) updateQuarantine(command messenger.QuarantineCommand) {
+	for _, report := range command.Crashes {
+		c.quarantine.Update(quarantiner.CrashMsg{Report: report})
+	}
+	c.quarantine.Update(quarantiner.SurvivedMsg{Keys: command.Survived})
+	c.quarantine.Update(quarantiner.LapsedMsg{Keys: command.Lapsed})
+}
+
+// ApplyQuarantine brings the quarantine of a process without a log up to date with
+// that of another process.
+func (c *Cataloguer) ApplyQuarantine(changes messenger.QuarantineChanges) {
+	c.quarantine.Update(quarantiner.ApplyMsg{Changes: changes})
+}
+
 // addEndpoint stores an endpoint with its address, so that a new leader without
 // any other state can query it at once. It replaces older entries of the same
 // instance or address.
@@ -109,15 +140,26 @@
 
 // Snapshot encodes the whole state for Restore.
 func (c *Cataloguer) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(c.state)
+	state := c.state
+	quarantine := c.quarantine.Snapshot()
+	state.Quarantine = &quarantine
+	data, err := json.Marshal(state)
 	return data, errors.Wrap(err, "encode the snapshot")
 }
 
 // Restore replaces the state with that of a snapshot; empty data resets it.
 func (c *Cataloguer) Restore(data []byte) error {
 	c.state = messenger.FleetState{}
+	c.quarantine = quarantiner.New()
 	if len(data) == 0 {
 		return nil
 	}
-	return errors.Wrap(json.Unmarshal(data, &c.state), "decode the snapshot; remove the data folder and let the process rejoin")
+	if err := json.Unmarshal(data, &c.state); err != nil {
+		return errors.Wrap(err, "decode the snapshot; remove the data folder and let the process rejoin")
+	}
+	if c.state.Quarantine != nil {
+		c.ApplyQuarantine(*c.state.Quarantine)
+		c.state.Quarantine = nil
+	}
+	return nil
 }
--- a/internal/cataloguer/cataloguer_test.go
+++ b/internal/cataloguer/cataloguer_test.go
@@ -52,6 +52,22 @@
 	assert.Equal(t, c.Endpoints()[0].Instance, "b")
 }
 
+// TestSnapshotKeepsTheQuarantine guards against a replica that starts from a snapshot
+// and sends content to endpoints that crashed under it.
+func TestSnapshotKeepsTheQuarantine(t *testing.T) {
+	c := New()
+	for i := range 3 {
+		report := messenger.CrashReport{Boot: fmt.Sprint("boot", i), Trials: []messenger.CrashTrial{{Key: "deadly", Known: i}}}
+		c.Update(CommandMsg{Command: messenger.FleetCommand{Quarantine: &messenger.QuarantineCommand{Crashes: []messenger.CrashReport{report}}}})
+	}
+	data, err := c.Snapshot()
+	assert.NilError(t, err)
+	restored := New()
+	assert.NilError(t, restored.Restore(data))
+	assert.Assert(t, restored.Quarantine().Held("deadly"))
+	assert.DeepEqual(t, restored.Quarantine().Records(), c.Quarantine().Records())
+}
+
 // TestSnapshotRestoreMatchesReplayedLog checks for random sequences of commands
 // that the version never decreases, and that a state restored from a snapshot at
 // any point stays equal to the original as both apply the same commands.
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -32,6 +32,7 @@
 	"papayaseam/internal/journaler"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/placer"
+	"papayaseam/internal/quarantiner"
 	"papayaseam/internal/replicator"
 	"papayaseam/internal/timekeeper"
 	"papayaseam/internal/tracker"
@@ -175,6 +176,7 @@
 	state       *cataloguer.Cataloguer
 	config      *describer.Configuration
 	fleet       fleet
+	holdTimer   *quarantiner.Timer
 }
 
 // New opens the journal, if there is a data folder, and prepares the process. Run
@@ -184,7 +186,7 @@
 		cfg: cfg, log: logger, client: transporter.NewClient(transporter.WithDialTimeout(dialTimeout)), endpoints: endpoints,
 		inbox: make(chan any, inboxCapacity), peerQueues: map[string]chan messenger.ReplicaMessage{}, exited: make(chan string, exitedCapacity), orderSlots: make(chan struct{}, maxConcurrentOrders), planTrigger: make(chan struct{}, 1),
 		proposals: map[uint64]chan result{}, reads: map[uint64][]chan result{}, waiters: map[int]waiter{},
-		seeds: cfg.Seeds, lastHeard: map[string]time.Duration{}, state: cataloguer.New(), fleet: newFleet(), collector: newCollector(),
+		seeds: cfg.Seeds, lastHeard: map[string]time.Duration{}, state: cataloguer.New(), fleet: newFleet(), collector: newCollector(), holdTimer: quarantiner.NewTimer(),
 	}
 	d.rounds = batcher.New(minRoundInterval, d.runRound)
 	if cfg.DataFolder == "" {
@@ -241,6 +243,7 @@
 		d.spawn("plan", func() { runEveryOrWoken(ctx, planInterval, d.planTrigger, d.plan) })
 		d.spawn("poll", func() { runEveryOrWoken(ctx, pollInterval, make(chan struct{}), d.poll) })
 		d.spawn("endpoint-records", func() { runEvery(ctx, recordInterval, d.commitEndpointRecords) })
+		d.spawn("quarantine", func() { runEvery(ctx, lapseInterval, d.commitLapses) })
 		d.spawn("hint", func() { runEvery(ctx, hintInterval, d.sendHints) })
 		d.spawn("membership", func() { runEvery(ctx, membershipInterval, d.maintainMembership) })
 		err = d.keepReplicaRunning(ctx)
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -198,6 +198,7 @@
 		return err
 	}
 	d.loadConfiguration()
+	d.quarantineChanged()
 	return nil
 }
 
@@ -207,6 +208,7 @@
 	results := make([]result, len(entries))
 	d.mu.Lock()
 	before, _ := d.state.Document()
+	quarantine := d.state.Quarantine().Revision()
 	for i, entry := range entries {
 		if entry.Kind == replicator.EntryCommand {
 			results[i].changed = d.applyCommand(entry)
@@ -215,6 +217,9 @@
 	if after, _ := d.state.Document(); after != before {
 		d.loadConfiguration()
 	}
+	if d.state.Quarantine().Revision() != quarantine {
+		d.quarantineChanged()
+	}
 	d.mu.Unlock()
 	for i, entry := range entries {
 		d.completeEntry(entry, results[i])
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -27,6 +27,7 @@
 	transporter.Handle(mux, "POST /fleet/hint", d.handleHint)
 	transporter.Handle(mux, "POST /fleet/announce", d.handleAnnounce)
 	transporter.Handle(mux, "POST /fleet/document", d.handleDocument)
+	transporter.Handle(mux, "POST /fleet/quarantine", d.handleQuarantine)
 }
 
 // Sync returns what an entry lacks of the configuration and the view of the fleet:
@@ -70,7 +71,10 @@
 func (d *Director) responseTo(request messenger.FleetRequest) messenger.FleetResponse {
 	version, document := d.state.Document()
 	changes := d.fleet.viewer.ChangesSince(viewPosition(request))
-	response := messenger.FleetResponse{Leader: enroller.AddressOf(d.leader), Version: version, Changes: &changes}
+	response := messenger.FleetResponse{
+		Leader: enroller.AddressOf(d.leader), Version: version, Changes: &changes,
+		Quarantine: d.state.Quarantine().ChangesSince(request.Quarantine),
+	}
 	if version > request.Version {
 		response.Document = document
 	}
@@ -120,7 +124,7 @@
 	for {
 		d.mu.Lock()
 		version, _ := d.state.Document()
-		hasNews := version > request.Version || d.fleet.viewer.HasNewerView(viewPosition(request)) || d.leading != wasLeading
+		hasNews := version > request.Version || d.state.Quarantine().Revision() > request.Quarantine || d.fleet.viewer.HasNewerView(viewPosition(request)) || d.leading != wasLeading
 		changed := d.fleet.changed
 		d.mu.Unlock()
 		if hasNews {
@@ -164,6 +168,10 @@
 // lags behind would otherwise be sent the document with every response.
 const skipDocument = math.MaxInt
 
+// skipQuarantine is the revision in follow requests of a voter, which has the
+// quarantine from the log.
+const skipQuarantine = math.MaxInt
+
 // followLeaderOnce requests one update of the view from the leader or, if none is
 // known, from any control process, and reports whether it received one.
 func (d *Director) followLeaderOnce(ctx context.Context, leader string) bool {
@@ -173,9 +181,10 @@
 	}
 	d.mu.Lock()
 	position := d.fleet.viewer.Position()
-	request := messenger.FleetRequest{Version: skipDocument, View: position.ViewRevision, Loads: position.LoadRevision, Term: position.Term, WaitMs: int(maxSyncWait / time.Millisecond)}
+	request := messenger.FleetRequest{Version: skipDocument, Quarantine: skipQuarantine, View: position.ViewRevision, Loads: position.LoadRevision, Term: position.Term, WaitMs: int(maxSyncWait / time.Millisecond)}
 	if d.journal == nil {
 		request.Version, _ = d.state.Document()
+		request.Quarantine = d.state.Quarantine().Revision()
 	}
 	d.mu.Unlock()
 	for _, target := range targets {
@@ -233,6 +242,10 @@
 			d.loadConfiguration()
 		}
 	}
+	if d.journal == nil && response.Quarantine != nil {
+		d.state.ApplyQuarantine(*response.Quarantine)
+		d.quarantineChanged()
+	}
 	if d.fleet.viewer.Update(viewer.ApplyMsg{Changes: *response.Changes}) {
 		d.fleet.notifyWaiters()
 	}
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -42,6 +42,7 @@
 func (g *Gatekeeper) dispatch(ctx context.Context, e *exchange, target chooser.Target) (*http.Response, ResponseMetadata, verdict, error) {
 	e.attempts++
 	e.attemptEventAt = 0
+	e.suspected = nil
 	if active := g.active.Load(); e.organisation != "" && g.expired(active) {
 		return nil, ResponseMetadata{}, notExecuted, errors.New("the lease on the configuration has expired")
 	}
@@ -147,6 +148,9 @@
 		return nil, nil, mayHaveExecuted, err
 	}
 	g.recordAttemptEnd(target, chooser.Served)
+	if response.StatusCode < http.StatusBadRequest {
+		g.recordCompletion(e)
+	}
 	return response, body, answered, nil
 }
 
--- a/internal/gatekeeper/crash.go
+++ b/internal/gatekeeper/crash.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"papayaseam/internal/chooser"
-	"papayaseam/internal/quarantiner"
 	"papayaseam/internal/timekeeper"
 	"papayaseam/internal/transporter"
 
@@ -52,17 +51,12 @@
 		return
 	}
 	requestsLostWithEndpoint.Inc()
-	g.log.Info("request lost with its endpoint", "attempt", e.metadata.AttemptID, "fingerprint", e.contentKey(), "endpoint", target.ID, "boot", target.BootTime,
-		"group", target.Group, "suspect", e.mayHaveCrashed(), "attempts", e.attempts)
-}
-
-// contentKey returns what requests with the same content of the same organisation
-// have in common, whichever entry and client attempt they come with.
-func (e *exchange) contentKey() string {
-	if e.fingerprint == "" {
-		e.fingerprint = quarantiner.Fingerprint(e.organisation, e.r.Host, e.r.Method, e.r.URL.RequestURI(), string(e.body))
+	suspect := e.mayHaveCrashed()
+	g.log.Info("request lost with its endpoint", "attempt", e.metadata.AttemptID, "fingerprint", e.fingerprint, "endpoint", target.ID, "boot", target.BootTime,
+		"group", target.Group, "suspect", suspect, "attempts", e.attempts)
+	if suspect {
+		g.recordCrash(e, target)
 	}
-	return e.fingerprint
 }
 
 // mayHaveCrashed reports whether the current attempt can have crashed its
--- a/internal/gatekeeper/crash_test.go
+++ b/internal/gatekeeper/crash_test.go
@@ -3,10 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"papayaseam/internal/messenger"
+	"papayaseam/internal/quarantiner"
+
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 )
@@ -93,3 +98,101 @@
 	}
 	assert.Equal(t, s.endedEndpoints(), 3)
 }
+
+// setQuarantine makes control tell the entry of crashes under a key.
+func (s *testSystem) setQuarantine(revision int, records ...messenger.QuarantineRecord) {
+	s.mu.Lock()
+	s.response.Quarantine = &messenger.QuarantineChanges{Revision: revision, Whole: true, Records: records}
+	syncs := s.syncs
+	s.mu.Unlock()
+	waitUntil(s.t, func() bool { return s.syncCount() > syncs+1 })
+}
+
+// reported returns the commands that the entry sent to control.
+func (s *testSystem) reported() []messenger.QuarantineCommand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.commands)
+}
+
+// deadlyKey is the fingerprint of the request /verse/deadly of these tests.
+var deadlyKey = quarantiner.Fingerprint("press", "a.example", http.MethodPost, "/verse/deadly", "prompt")
+
+// TestContentHeldByControlReachesNoEndpoint guards against an entry that waits for
+// crashes of its own although others have seen enough.
+func TestContentHeldByControlReachesNoEndpoint(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	e := s.addEndpoint("writers", func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 2) })
+	s.start()
+	s.setQuarantine(1, messenger.QuarantineRecord{Key: deadlyKey, Crashes: 3})
+	response, _, err := s.call(http.MethodPost, "/verse/deadly", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Equal(t, time.Duration(after)*time.Second, quarantiner.FirstHold)
+	assert.Equal(t, e.requestCount(), 0)
+	for _, other := range []string{"/verse/sound", "/verse/deadly/2"} {
+		response, _, err = s.call(http.MethodPost, other, "prompt")
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	s.setQuarantine(2)
+	response, _, err = s.call(http.MethodPost, "/verse/deadly", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK, "control no longer holds it")
+}
+
+// TestCrashIsReportedToControl guards against crashes that each entry keeps for
+// itself.
+func TestCrashIsReportedToControl(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	s.addCrashingEndpoint("/deadly")
+	s.start()
+	_, _, err := s.call(http.MethodPost, "/verse/deadly", "prompt")
+	assert.NilError(t, err)
+	waitUntil(t, func() bool { return len(s.reported()) == 1 })
+	assert.DeepEqual(t, s.reported()[0], messenger.QuarantineCommand{
+		Crashes: []messenger.CrashReport{{Boot: "i-0/1", Trials: []messenger.CrashTrial{{Key: deadlyKey}}}},
+	})
+}
+
+// TestSuspectedRequestThatIsAnsweredIsCleared guards against holding a sound request
+// that was running beside the cause of crashes.
+func TestSuspectedRequestThatIsAnsweredIsCleared(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	s.addEndpoint("writers", func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 2) })
+	s.addEndpoint("desk", respond(200, "found"))
+	s.start()
+	look := quarantiner.Fingerprint("press", "a.example", http.MethodPost, "/look/1", "prompt")
+	s.setQuarantine(1, messenger.QuarantineRecord{Key: deadlyKey, Crashes: 2}, messenger.QuarantineRecord{Key: look, Crashes: 1})
+	for i, path := range []string{"/verse/deadly", "/look/1"} {
+		_, _, err := s.call(http.MethodPost, path, "prompt")
+		assert.NilError(t, err)
+		waitUntil(t, func() bool { return len(s.reported()) == i+1 })
+		assert.DeepEqual(t, s.reported()[i].Survived, []string{[]string{deadlyKey, look}[i]})
+	}
+}
+
+// TestWaitingAttemptOfHeldContentIsCanceled guards against requests in the queues of
+// other endpoints, which crash those when they begin.
+func TestWaitingAttemptOfHeldContentIsCanceled(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	canceled := make(chan struct{}, 1)
+	e := s.addEndpoint("writers", func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		canceled <- struct{}{}
+	})
+	s.start()
+	done := make(chan int, 1)
+	go func() {
+		response, _, err := s.call(http.MethodPost, "/verse/deadly", "prompt")
+		if assert.Check(t, err) {
+			done <- response.StatusCode
+		}
+	}()
+	waitUntil(t, func() bool { return e.requestCount() == 1 })
+	s.setQuarantine(1, messenger.QuarantineRecord{Key: deadlyKey, Crashes: 3})
+	<-canceled
+	assert.Equal(t, <-done, http.StatusBadGateway, "the request had reached an endpoint")
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -137,6 +137,7 @@
 	viewer        *viewer.Viewer
 	fleet         chooser.FleetMsg
 	checks        map[bootKey]*processCheck
+	quarantine    *quarantine
 }
 
 type demandKey struct{ service, model string }
@@ -157,7 +158,7 @@
 		bufferPool:     transporter.NewPool(bufferPoolBytes),
 		chooser:        chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name)), chooser.WithName(cfg.Name)), retryBudget: retrier.New(cfg.RetryRatio*retryRatioShare, maxEarnedRetries),
 		throttler: throttler.New(), clientRetries: newClientRetryDetector(), streams: map[*streamAttempt]struct{}{}, observations: map[string]*observation{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
-		checks: map[bootKey]*processCheck{},
+		checks: map[bootKey]*processCheck{}, quarantine: newQuarantine(logger),
 	}
 }
 
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -85,7 +85,8 @@
 	server    *httptest.Server
 	mu        sync.Mutex
 	response  messenger.FleetResponse
-	syncs     int // syncs is the number of sync requests to control.
+	syncs     int                           // syncs is the number of sync requests to control.
+	commands  []messenger.QuarantineCommand // commands holds the reports of crashes to control.
 	endpoints []*fakeEndpoint
 }
 
@@ -107,9 +108,16 @@
 
 func newSystem(t *testing.T, lease time.Duration) *testSystem {
 	s := &testSystem{t: t, response: messenger.FleetResponse{Changes: &messenger.FleetChanges{Whole: true}}}
-	control := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	control := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if r.URL.Path == "/fleet/quarantine" {
+			var command messenger.QuarantineCommand
+			assert.Check(t, json.NewDecoder(r.Body).Decode(&command))
+			s.commands = append(s.commands, command)
+			_ = json.NewEncoder(w).Encode(messenger.QuarantineAnswer{Accepted: true})
+			return
+		}
 		s.syncs++
 		_ = json.NewEncoder(w).Encode(s.response)
 	}))
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -9,6 +9,7 @@
 
 	"papayaseam/internal/chooser"
 	"papayaseam/internal/describer"
+	"papayaseam/internal/quarantiner"
 	"papayaseam/internal/timekeeper"
 
 	"github.com/cockroachdb/errors"
@@ -42,7 +43,10 @@
 	service           describer.Service
 	organisation      string
 	body              []byte
-	fingerprint       string // fingerprint caches the result of contentKey.
+	fingerprint       string         // fingerprint is the same for all requests with this content of this organisation.
+	knownCrashes      map[string]int // knownCrashes holds the crashes that were known under each key when the current attempt was sent.
+	suspected         []string       // suspected holds the keys under which crashes were known when the current attempt's answer began.
+	held              bool           // held means that no attempt was made because the content crashes endpoints.
 	startedAt         time.Duration
 	deadline          time.Duration // deadline is when the client must have its response.
 	attempts          int
@@ -174,6 +178,7 @@
 		return false
 	}
 	e.body = body
+	e.fingerprint = quarantiner.Fingerprint(e.organisation, e.r.Host, e.r.Method, e.r.URL.RequestURI(), string(body))
 	return true
 }
 
@@ -217,7 +222,11 @@
 		e.outcome = "cut"
 		panic(http.ErrAbortHandler)
 	}
-	g.dialect.SetRetryAfter(e.w.Header(), clientRetryDelay)
+	after := clientRetryDelay
+	if e.held {
+		after = quarantiner.FirstHold
+	}
+	g.dialect.SetRetryAfter(e.w.Header(), after)
 	http.Error(e.w, "not run: "+reason, http.StatusServiceUnavailable)
 }
 
@@ -269,6 +278,7 @@
 		e.firstEndpointLoad = g.chooser.Load(target.ID)
 	}
 	e.target = target
+	g.noteKnownCrashes(e)
 	g.chooser.Update(chooser.AttemptStartedMsg{ID: target.ID})
 	return target, true
 }
@@ -277,6 +287,8 @@
 // an empty string; mu is held.
 func (g *Gatekeeper) blockedReason(e *exchange, request chooser.Request) string {
 	switch {
+	case g.isHeld(e):
+		return heldReason
 	case e.attempts >= max(e.route.MaxAttempts, 1):
 		return "no attempt is left"
 	case e.attempts == 0 && request.Model != "" && !g.throttler.Admits(request.Model, e.utilization, rand.Float64()):
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"papayaseam/internal/chooser"
@@ -36,6 +37,8 @@
 type streamAttempt struct {
 	target chooser.Target
 	cancel context.CancelCauseFunc
+	keys   []string    // keys holds the keys of the request's content.
+	begun  atomic.Bool // begun means that the first event of the attempt arrived.
 }
 
 // serveStream forwards a stream and resumes it at another endpoint if it is
@@ -95,7 +98,7 @@
 func (g *Gatekeeper) forwardStream(ctx context.Context, e *exchange, target chooser.Target) (done bool, v verdict, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s := &streamAttempt{target: target, cancel: cancel}
+	s := &streamAttempt{target: target, cancel: cancel, keys: e.keys()}
 	g.addStream(s)
 	outcome := chooser.Failed
 	defer func() { g.removeStream(s, outcome) }()
@@ -121,6 +124,7 @@
 	}
 	outcome = chooser.Served
 	e.outcome = "answered"
+	g.recordSurvival(e)
 	if !e.responseStarted {
 		g.writeStreamHeader(e)
 	}
@@ -183,6 +187,20 @@
 	}
 }
 
+// recordProgress records the first event of an attempt, and that the attempt goes on
+// after it.
+func (g *Gatekeeper) recordProgress(e *exchange, s *streamAttempt) {
+	now := timekeeper.Now()
+	if e.attemptEventAt == 0 {
+		e.attemptEventAt = now
+		s.begun.Store(true)
+		g.noteBegun(e)
+	}
+	if now-e.attemptEventAt >= beginPeriod {
+		g.recordSurvival(e)
+	}
+}
+
 // recordFirstEvent reports the latency of the first event to the throttler. It
 // skips retries of the client and of this entry.
 func (g *Gatekeeper) recordFirstEvent(e *exchange) {
@@ -225,6 +243,7 @@
 		eventTimer.Stop()
 		g.recordActivity(s)
 		g.recordFirstEvent(e)
+		g.recordProgress(e, s)
 		if err := g.writeEvent(e, event); err != nil {
 			return err
 		}
@@ -257,9 +276,6 @@
 // writeEvent forwards one event and records its id for a resumption.
 func (g *Gatekeeper) writeEvent(e *exchange, event []byte) error {
 	now := timekeeper.Now()
-	if e.attemptEventAt == 0 {
-		e.attemptEventAt = now
-	}
 	if !e.responseStarted {
 		e.firstEventAt = now
 		g.writeStreamHeader(e)
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -25,8 +25,15 @@
 	syncRetryDelay = 120 * time.Millisecond
 )
 
-// Run keeps the configuration and the fleet up to date until the context ends.
+// Run keeps the configuration and the fleet up to date, and reports crashes, until the
+// context ends.
 func (g *Gatekeeper) Run(ctx context.Context) error {
+	reported := make(chan struct{})
+	go func() {
+		defer close(reported)
+		g.runQuarantine(ctx)
+	}()
+	defer func() { <-reported }()
 	for ctx.Err() == nil {
 		pause := syncInterval
 		if !g.syncOnce(ctx) {
@@ -75,7 +82,7 @@
 	position := g.viewer.Position()
 	request := messenger.FleetRequest{
 		Process: g.cfg.Name, View: position.ViewRevision, Loads: position.LoadRevision, Term: position.Term, WaitMs: int(syncLongPoll / time.Millisecond),
-		Sightings: g.sightings(sentAt), Demand: g.resetDemand(),
+		Sightings: g.sightings(sentAt), Demand: g.resetDemand(), Quarantine: g.quarantine.shared.Revision(),
 	}
 	g.mu.Unlock()
 	if active := g.active.Load(); active != nil {
@@ -156,6 +163,10 @@
 	if response.Entries > 0 {
 		g.fleet.EntryCount = response.Entries
 	}
+	if response.Quarantine != nil {
+		g.quarantine.apply(*response.Quarantine)
+		g.cancelHeld()
+	}
 	if response.Changes == nil {
 		return
 	}
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -33,6 +33,25 @@
 	Home string `json:"home,omitempty,omitzero"`
 }
 
+// One boot of an endpoint that crashed, and what may have crashed it.
+type CrashReport struct {
+	// Boot corresponds to the JSON schema field "boot".
+	Boot string `json:"boot,omitempty,omitzero"`
+
+	// Trials corresponds to the JSON schema field "trials".
+	Trials []CrashTrial `json:"trials,omitempty,omitzero"`
+}
+
+// Content that was about to begin, or had just begun, on an endpoint as it
+// crashed.
+type CrashTrial struct {
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key,omitempty,omitzero"`
+
+	// The crashes that were known under the content when it was sent.
+	Known int `json:"known,omitempty,omitzero"`
+}
+
 // The work that clients asked of one model since the last report.
 type DemandReport struct {
 	// Model corresponds to the JSON schema field "model".
@@ -227,6 +246,9 @@
 	// Endpoints that were heard at about the same time.
 	Endpoints []EndpointView `json:"endpoints,omitempty,omitzero"`
 
+	// Quarantine corresponds to the JSON schema field "quarantine".
+	Quarantine *QuarantineCommand `json:"quarantine,omitempty,omitzero"`
+
 	// Clients are served from here on.
 	Traffic bool `json:"traffic,omitempty,omitzero"`
 
@@ -245,6 +267,9 @@
 	// Process corresponds to the JSON schema field "process".
 	Process string `json:"process,omitempty,omitzero"`
 
+	// The revision of the quarantine.
+	Quarantine int `json:"quarantine,omitempty,omitzero"`
+
 	// Sightings corresponds to the JSON schema field "sightings".
 	Sightings []Sighting `json:"sightings,omitempty,omitzero"`
 
@@ -278,6 +303,9 @@
 	// Leader corresponds to the JSON schema field "leader".
 	Leader string `json:"leader,omitempty,omitzero"`
 
+	// Quarantine corresponds to the JSON schema field "quarantine".
+	Quarantine *QuarantineChanges `json:"quarantine,omitempty,omitzero"`
+
 	// Version corresponds to the JSON schema field "version".
 	Version int `json:"version,omitempty,omitzero"`
 }
@@ -293,6 +321,9 @@
 	// Endpoints corresponds to the JSON schema field "endpoints".
 	Endpoints []EndpointView `json:"endpoints,omitempty,omitzero"`
 
+	// Quarantine corresponds to the JSON schema field "quarantine".
+	Quarantine *QuarantineChanges `json:"quarantine,omitempty,omitzero"`
+
 	// Traffic corresponds to the JSON schema field "traffic".
 	Traffic bool `json:"traffic,omitempty,omitzero"`
 
@@ -384,6 +415,59 @@
 	Sequence int `json:"sequence,omitempty,omitzero"`
 }
 
+// Whether a command on the quarantine was committed.
+type QuarantineAnswer struct {
+	// Accepted corresponds to the JSON schema field "accepted".
+	Accepted bool `json:"accepted,omitempty,omitzero"`
+}
+
+// What changed in the quarantine since the revision that the asker named, or all
+// of it.
+type QuarantineChanges struct {
+	// Records corresponds to the JSON schema field "records".
+	Records []QuarantineRecord `json:"records,omitempty,omitzero"`
+
+	// Revision corresponds to the JSON schema field "revision".
+	Revision int `json:"revision,omitempty,omitzero"`
+
+	// Whole corresponds to the JSON schema field "whole".
+	Whole bool `json:"whole,omitempty,omitzero"`
+}
+
+// What entries learned of content that may crash endpoints.
+type QuarantineCommand struct {
+	// Crashes corresponds to the JSON schema field "crashes".
+	Crashes []CrashReport `json:"crashes,omitempty,omitzero"`
+
+	// Hops corresponds to the JSON schema field "hops".
+	Hops int `json:"hops,omitempty,omitzero"`
+
+	// Content whose suspicion or hold is over.
+	Lapsed []string `json:"lapsed,omitempty,omitzero"`
+
+	// Content that ran without a crash.
+	Survived []string `json:"survived,omitempty,omitzero"`
+}
+
+// The crashes under one content. None means that the content is no longer
+// suspected.
+type QuarantineRecord struct {
+	// The boots that crashed.
+	Boots []string `json:"boots,omitempty,omitzero"`
+
+	// Crashes corresponds to the JSON schema field "crashes".
+	Crashes int `json:"crashes,omitempty,omitzero"`
+
+	// How often the content was held before.
+	Holds int `json:"holds,omitempty,omitzero"`
+
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key,omitempty,omitzero"`
+
+	// The revision of the last change.
+	Modified int `json:"modified,omitempty,omitzero"`
+}
+
 // What an endpoint says of itself, passed on between control processes.
 type Registration struct {
 	// Endpoint corresponds to the JSON schema field "endpoint".
