Gatekeeper: the log names the prompt parts of requests lost with their endpoint

Cause sought: endpoints crash one after the other under requests of which no two are alike; the log did not show what these have in common.

No logic is changed.

--- a/internal/gatekeeper/crash.go
+++ b/internal/gatekeeper/crash.go
@@ -53,7 +53,7 @@
 	requestsLostWithEndpoint.Inc()
 	suspect := e.mayHaveCrashed()
 	g.log.Info("request lost with its endpoint", "attempt", e.metadata.AttemptID, "fingerprint", e.fingerprint, "endpoint", target.ID, "boot", target.BootTime,
-		"group", target.Group, "suspect", suspect, "attempts", e.attempts)
+		"group", target.Group, "suspect", suspect, "attempts", e.attempts, "parts", e.metadata.PromptParts)
 	if suspect {
 		g.recordCrash(e, target)
 	}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -56,9 +56,10 @@
 	Timeout      time.Duration // Timeout is how long the client waits; 0 if unknown.
 	APIKey       string
 	Model        string
-	PromptTokens int    // PromptTokens is 0 if unknown.
-	OutputTokens int    // OutputTokens is the client's estimate or its limit; 0 if unknown.
-	LastEventID  string // LastEventID is set when the client resumes a stream.
+	PromptTokens int      // PromptTokens is 0 if unknown.
+	OutputTokens int      // OutputTokens is the client's estimate or its limit; 0 if unknown.
+	LastEventID  string   // LastEventID is set when the client resumes a stream.
+	PromptParts  []string // PromptParts identifies the parts of the prompt in order, the most widely shared first.
 }
 
 // ForwardMetadata is what the entry adds to the header of a forwarded request.
