Gatekeeper: a test of a prompt part that crashes one endpoint after the other fails

Eight requests, no two alike, share a part that crashes what answers it; sound ones share their beginning. All ten endpoints end and the next sound request is refused. The target is the operators': five crashes at most, and sound requests of the same beginning are served.

--- a/internal/gatekeeper/crash_test.go
+++ b/internal/gatekeeper/crash_test.go
@@ -25,11 +25,11 @@
 }
 
 // addCrashingEndpoint starts an endpoint of the writers that crashes when it begins a
-// request whose path has the given suffix, and serves all others.
-func (s *testSystem) addCrashingEndpoint(suffix string) *fakeEndpoint {
+// request with the given end of its path or part of its prompt, and serves all others.
+func (s *testSystem) addCrashingEndpoint(deadly string) *fakeEndpoint {
 	var e *fakeEndpoint
 	e = s.addEndpoint("writers", func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasSuffix(r.URL.Path, suffix) {
+		if strings.HasSuffix(r.URL.Path, deadly) || slices.Contains(strings.Fields(r.Header.Get("Parts")), deadly) {
 			e.crash(w, r)
 		}
 		writeEvents(w, 1, 2)
@@ -196,3 +196,44 @@
 	<-canceled
 	assert.Equal(t, <-done, http.StatusBadGateway, "the request had reached an endpoint")
 }
+
+// applyCommand applies an entry's report to control's table; mu is held.
+func (s *testSystem) applyCommand(command messenger.QuarantineCommand) {
+	if s.quarantine == nil {
+		return
+	}
+	for _, report := range command.Crashes {
+		s.quarantine.Update(quarantiner.CrashMsg{Report: report})
+	}
+	s.quarantine.Update(quarantiner.SurvivedMsg{Keys: command.Survived})
+}
+
+// callWithParts sends one request of its own path and prompt with the given parts
+// before its last one.
+func (s *testSystem) callWithParts(number int, parts string) (*http.Response, string, error) {
+	id := fmt.Sprint(strings.Fields(parts)[len(strings.Fields(parts))-1], number)
+	return s.call(http.MethodPost, "/verse/"+id, "prompt "+id, "Attempt", id, "Parts", parts+" own"+id)
+}
+
+// TestPartThatCrashesEndpointsIsHeldAndItsBeginningIsNot guards against requests of
+// which no two are alike and which crash endpoint after endpoint by one part of their
+// prompts, and against holding the sound requests that share their beginning.
+func TestPartThatCrashesEndpointsIsHeldAndItsBeginningIsNot(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	s.quarantine = quarantiner.New()
+	for range 10 {
+		s.addCrashingEndpoint("tainted")
+	}
+	s.start()
+	for i := range 8 {
+		_, _, _ = s.callWithParts(i, "shared tainted")
+		time.Sleep(quarantineDelay)
+		response, body, err := s.callWithParts(i, "shared")
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK, "request %d: %s", i, body)
+	}
+	assert.Assert(t, s.endedEndpoints() <= 5, "%d endpoints ended", s.endedEndpoints())
+}
+
+// quarantineDelay is longer than a report to control and the next sync take.
+const quarantineDelay = 400 * time.Millisecond
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -19,6 +19,7 @@
 	"papayaseam/internal/gatekeeper"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/packer"
+	"papayaseam/internal/quarantiner"
 
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
@@ -50,7 +51,7 @@
 	left, _ := strconv.Atoi(r.Header.Get("Left-Ms"))
 	return gatekeeper.RequestMetadata{
 		AttemptID: r.Header.Get("Attempt"), Timeout: time.Duration(left) * time.Millisecond, APIKey: r.Header.Get("Key"),
-		Model: r.Header.Get("Model"), LastEventID: r.Header.Get("Last-Event"),
+		Model: r.Header.Get("Model"), LastEventID: r.Header.Get("Last-Event"), PromptParts: strings.Fields(r.Header.Get("Parts")),
 	}
 }
 
@@ -80,14 +81,15 @@
 
 // testSystem is one entry with a fake control process and fake endpoints.
 type testSystem struct {
-	t         *testing.T
-	entry     *gatekeeper.Gatekeeper
-	server    *httptest.Server
-	mu        sync.Mutex
-	response  messenger.FleetResponse
-	syncs     int                           // syncs is the number of sync requests to control.
-	commands  []messenger.QuarantineCommand // commands holds the reports of crashes to control.
-	endpoints []*fakeEndpoint
+	t          *testing.T
+	entry      *gatekeeper.Gatekeeper
+	server     *httptest.Server
+	mu         sync.Mutex
+	response   messenger.FleetResponse
+	syncs      int                           // syncs is the number of sync requests to control.
+	commands   []messenger.QuarantineCommand // commands holds the reports of crashes to control.
+	quarantine *quarantiner.Table            // quarantine, if set, is control's table, driven by the commands.
+	endpoints  []*fakeEndpoint
 }
 
 // syncCount returns the number of sync requests to control.
@@ -115,10 +117,14 @@
 			var command messenger.QuarantineCommand
 			assert.Check(t, json.NewDecoder(r.Body).Decode(&command))
 			s.commands = append(s.commands, command)
+			s.applyCommand(command)
 			_ = json.NewEncoder(w).Encode(messenger.QuarantineAnswer{Accepted: true})
 			return
 		}
 		s.syncs++
+		if s.quarantine != nil {
+			s.response.Quarantine = s.quarantine.ChangesSince(0)
+		}
 		_ = json.NewEncoder(w).Encode(s.response)
 	}))
 	t.Cleanup(control.Close)
