Control counts crashes by prompt part, and holds the part but not its beginning

Cause: crashes were counted by whole request, and each request with the part was new. A count by part alone would be wrong too: the beginning that the part always comes with is in every crash.

Change: entries report the parts of what was beginning, all but the last, beside the request. The leader gathers reports for 20 ms before it commits them, since requests at other entries tell two parts apart.

--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -73,7 +73,7 @@
 	changed := false
 	if command.Quarantine != nil {
 		before := c.quarantine.Revision()
-		c.updateQuarantine(*command.Quarantine)
+		c.quarantine.Update(quarantiner.ReportMsg{Command: *command.Quarantine})
 		changed = c.quarantine.Revision() != before
 	}
 	if command.Document != "" && command.Version > c.state.Version {
@@ -101,16 +101,6 @@
 	return changed
 }
 
-// updateQuarantine applies what entries learned. Crashes come first: content that ran
-// on began after those.
-func (c *Cataloguer) updateQuarantine(command messenger.QuarantineCommand) {
-	for _, report := range command.Crashes {
-		c.quarantine.Update(quarantiner.CrashMsg{Report: report})
-	}
-	c.quarantine.Update(quarantiner.SurvivedMsg{Keys: command.Survived})
-	c.quarantine.Update(quarantiner.LapsedMsg{Keys: command.Lapsed})
-}
-
 // ApplyQuarantine brings the quarantine of a process without a log up to date with
 // that of another process.
 func (c *Cataloguer) ApplyQuarantine(changes messenger.QuarantineChanges) {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -177,6 +177,7 @@
 	config      *describer.Configuration
 	fleet       fleet
 	holdTimer   *quarantiner.Timer
+	quarantine  *quarantineBatch // quarantine is the batch that reports can still join; nil if there is none.
 }
 
 // New opens the journal, if there is a data folder, and prepares the process. Run
--- a/internal/director/quarantine.go
+++ b/internal/director/quarantine.go
@@ -8,8 +8,21 @@
 	"papayaseam/internal/messenger"
 )
 
-// lapseInterval is the time between checks for holds that are over.
-const lapseInterval = time.Second
+const (
+	// lapseInterval is the time between checks for holds that are over.
+	lapseInterval = time.Second
+	// gatherPeriod lets what all entries saw of one crash be weighed together: a part
+	// is told from those that it comes with by requests at other entries.
+	gatherPeriod = 20 * time.Millisecond
+)
+
+// quarantineBatch gathers reports that are committed together. Its err is valid once
+// done is closed.
+type quarantineBatch struct {
+	command messenger.QuarantineCommand
+	done    chan struct{}
+	err     error
+}
 
 // handleQuarantine commits what an entry learned of content that may crash endpoints.
 func (d *Director) handleQuarantine(ctx context.Context, command messenger.QuarantineCommand) messenger.QuarantineAnswer {
@@ -18,16 +31,52 @@
 		answer, _ := forwardToLeader[messenger.QuarantineAnswer](ctx, d, "/fleet/quarantine", command.Hops, commandTimeout, command)
 		return answer
 	}
-	command.Hops = 0
-	command.Survived = d.suspectedOf(command.Survived)
-	if len(command.Crashes)+len(command.Survived)+len(command.Lapsed) == 0 {
-		return messenger.QuarantineAnswer{Accepted: true}
+	batch, mustRun := d.joinQuarantineBatch(command)
+	if mustRun {
+		sleep(ctx, gatherPeriod)
+		d.commitQuarantineBatch(context.WithoutCancel(ctx), batch)
 	}
-	if _, err := d.commit(ctx, messenger.FleetCommand{Quarantine: &command}); err != nil {
-		d.log.Info("could not commit crashes under requests", "crashes", len(command.Crashes), "survived", len(command.Survived), "lapsed", len(command.Lapsed), "err", err)
+	select {
+	case <-batch.done:
+		return messenger.QuarantineAnswer{Accepted: batch.err == nil}
+	case <-ctx.Done():
 		return messenger.QuarantineAnswer{}
 	}
-	return messenger.QuarantineAnswer{Accepted: true}
+}
+
+// joinQuarantineBatch adds a command to the batch that others can still join, and
+// reports whether the caller must commit it.
+func (d *Director) joinQuarantineBatch(command messenger.QuarantineCommand) (batch *quarantineBatch, mustRun bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.quarantine == nil {
+		d.quarantine = &quarantineBatch{done: make(chan struct{})}
+		mustRun = true
+	}
+	batch = d.quarantine
+	batch.command.Crashes = append(batch.command.Crashes, command.Crashes...)
+	batch.command.Survived = append(batch.command.Survived, command.Survived...)
+	batch.command.Lapsed = append(batch.command.Lapsed, command.Lapsed...)
+	return batch, mustRun
+}
+
+// commitQuarantineBatch closes a batch to further commands and commits it, unless it
+// changes nothing.
+func (d *Director) commitQuarantineBatch(ctx context.Context, batch *quarantineBatch) {
+	defer close(batch.done)
+	d.mu.Lock()
+	d.quarantine = nil
+	d.mu.Unlock()
+	command := batch.command
+	if len(command.Crashes) == 0 {
+		command.Survived = d.suspectedOf(command.Survived)
+	}
+	if len(command.Crashes)+len(command.Survived)+len(command.Lapsed) == 0 {
+		return
+	}
+	if _, batch.err = d.commit(ctx, messenger.FleetCommand{Quarantine: &command}); batch.err != nil {
+		d.log.Info("could not commit crashes under requests", "crashes", len(command.Crashes), "survived", len(command.Survived), "lapsed", len(command.Lapsed), "err", batch.err)
+	}
 }
 
 // suspectedOf returns the keys that are suspected, since several entries report that
--- a/internal/gatekeeper/crash_test.go
+++ b/internal/gatekeeper/crash_test.go
@@ -17,10 +17,15 @@
 )
 
 // crash ends the process of a fake endpoint as seen from outside: its connections
-// break and nothing listens at its address.
-func (e *fakeEndpoint) crash(w http.ResponseWriter, r *http.Request) {
+// break, nothing listens at its address, and control no longer names it.
+func (s *testSystem) crash(e *fakeEndpoint, w http.ResponseWriter, r *http.Request) {
 	e.crashed.Store(true)
 	_ = e.server.Listener.Close()
+	s.mu.Lock()
+	changes := s.response.Changes
+	changes.Groups = slices.DeleteFunc(slices.Clone(changes.Groups), func(g messenger.GroupView) bool { return g.Members[0] == r.Header.Get("Instance") })
+	changes.View++
+	s.mu.Unlock()
 	abortConnection(w, r)
 }
 
@@ -30,7 +35,7 @@
 	var e *fakeEndpoint
 	e = s.addEndpoint("writers", func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, deadly) || slices.Contains(strings.Fields(r.Header.Get("Parts")), deadly) {
-			e.crash(w, r)
+			s.crash(e, w, r)
 		}
 		writeEvents(w, 1, 2)
 	})
@@ -202,10 +207,7 @@
 	if s.quarantine == nil {
 		return
 	}
-	for _, report := range command.Crashes {
-		s.quarantine.Update(quarantiner.CrashMsg{Report: report})
-	}
-	s.quarantine.Update(quarantiner.SurvivedMsg{Keys: command.Survived})
+	s.quarantine.Update(quarantiner.ReportMsg{Command: command})
 }
 
 // callWithParts sends one request of its own path and prompt with the given parts
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -173,8 +173,7 @@
 // Ready reports whether this entry can serve new clients: its configuration was
 // confirmed recently, and it is not draining.
 func (g *Gatekeeper) Ready() bool {
-	active := g.active.Load()
-	return active != nil && g.drainStart.Load() == 0 && g.recentlyConfirmed(active)
+	return g.drainStart.Load() == 0 && g.inTouch()
 }
 
 // readyLeaseFraction is the part of the lease after which an entry that hears
--- a/internal/gatekeeper/quarantine.go
+++ b/internal/gatekeeper/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -62,22 +63,24 @@
 // crashes returns how many crashes are known under a key.
 func (q *quarantine) crashes(key string) int { return max(q.own.Crashes(key), q.shared.Crashes(key)) }
 
-// heldKey returns the first of the keys that is held, or "" if none is.
-func (q *quarantine) heldKey(keys []string) string {
-	for _, key := range keys {
-		if q.own.Held(key) || q.shared.Held(key) {
-			return key
+// heldKey returns the first key of a request's content that is held, or "" if none is.
+// What this entry saw itself does not tell a part from those that it comes with, and
+// holds parts only while control is out of reach.
+func (q *quarantine) heldKey(content []contentKey, inTouch bool) string {
+	for _, c := range content {
+		if q.shared.Held(c.key) || (q.own.Held(c.key) && (c.part == 0 || !inTouch)) {
+			return c.key
 		}
 	}
 	return ""
 }
 
 // suspected returns the keys under which crashes are known.
-func (q *quarantine) suspected(keys []string) []string {
+func (q *quarantine) suspected(content []contentKey) []string {
 	var suspected []string
-	for _, key := range keys {
-		if q.crashes(key) > 0 {
-			suspected = append(suspected, key)
+	for _, c := range content {
+		if q.crashes(c.key) > 0 {
+			suspected = append(suspected, c.key)
 		}
 	}
 	return suspected
@@ -85,14 +88,16 @@
 
 // recordCrash adds the content of a request to the crash of its endpoint.
 func (q *quarantine) recordCrash(boot string, trials []messenger.CrashTrial) {
-	q.logEffects("entry", q.own.Update(quarantiner.CrashMsg{Report: messenger.CrashReport{Boot: boot, Trials: trials}}))
+	q.logEffects("entry", q.own.Update(report(messenger.QuarantineCommand{
+		Crashes: []messenger.CrashReport{{Boot: boot, Trials: trials}},
+	})))
 	q.refresh()
-	report := q.pendingReport(boot)
-	if report == nil || len(report.Trials)+len(trials) > maxTrialsPerReport {
+	pending := q.pendingReport(boot)
+	if pending == nil || len(pending.Trials)+len(trials) > maxTrialsPerReport {
 		q.log.Warn("crash not reported to control; too much is waiting", "boot", boot)
 		return
 	}
-	report.Trials = append(report.Trials, trials...)
+	pending.Trials = append(pending.Trials, trials...)
 	q.poke()
 }
 
@@ -113,11 +118,11 @@
 
 // recordSurvival clears the keys that are still suspected.
 func (q *quarantine) recordSurvival(keys []string) {
-	keys = q.suspected(keys)
+	keys = slices.DeleteFunc(keys, func(key string) bool { return q.crashes(key) == 0 })
 	if len(keys) == 0 {
 		return
 	}
-	q.logEffects("entry", q.own.Update(quarantiner.SurvivedMsg{Keys: keys}))
+	q.logEffects("entry", q.own.Update(report(messenger.QuarantineCommand{Survived: keys})))
 	q.refresh()
 	if len(q.pending.Survived)+len(keys) <= maxTrialsPerReport {
 		q.pending.Survived = append(q.pending.Survived, keys...)
@@ -136,16 +141,20 @@
 			cleared = append(cleared, r.Key)
 		}
 	}
-	q.own.Update(quarantiner.SurvivedMsg{Keys: cleared})
+	q.own.Update(report(messenger.QuarantineCommand{Survived: cleared}))
 	q.refresh()
 }
 
 // lapse ends the suspicions and holds of this entry's own table whose time is over.
 func (q *quarantine) lapse(now time.Duration) {
-	q.own.Update(quarantiner.LapsedMsg{Keys: q.ownTimer.Lapsed(now, q.own.Records())})
+	q.own.Update(report(messenger.QuarantineCommand{Lapsed: q.ownTimer.Lapsed(now, q.own.Records())}))
 	q.refresh()
 }
 
+func report(command messenger.QuarantineCommand) quarantiner.ReportMsg {
+	return quarantiner.ReportMsg{Command: command}
+}
+
 func (q *quarantine) refresh() {
 	q.suspects.Store(!q.own.Empty() || !q.shared.Empty())
 }
@@ -181,14 +190,28 @@
 	}
 }
 
-// keys returns the keys by which the content of a request is suspected or held.
-func (e *exchange) keys() []string { return []string{e.fingerprint} }
+// contentKey names content of a request.
+type contentKey struct {
+	key  string
+	part int // part is the position of a part in the prompt, from 1; 0 for the whole request.
+}
+
+// identifyContent sets the fingerprint of a request and the keys of its content. The
+// last part of a prompt is the request's own, so that the fingerprint stands for it.
+func (e *exchange) identifyContent() {
+	e.fingerprint = quarantiner.Fingerprint(e.organisation, e.r.Host, e.r.Method, e.r.URL.RequestURI(), string(e.body))
+	e.content = []contentKey{{key: e.fingerprint}}
+	parts := e.metadata.PromptParts
+	for i := range max(0, len(parts)-1) {
+		e.content = append(e.content, contentKey{key: quarantiner.PartKey(e.service.Name, parts[i]), part: i + 1})
+	}
+}
 
 // trials returns the content of the current attempt for a crash report.
 func (e *exchange) trials() []messenger.CrashTrial {
 	var trials []messenger.CrashTrial
-	for _, key := range e.keys() {
-		trials = append(trials, messenger.CrashTrial{Key: key, Known: e.knownCrashes[key]})
+	for _, c := range e.content {
+		trials = append(trials, messenger.CrashTrial{Key: c.key, Known: e.knownCrashes[c.key], Part: c.part})
 	}
 	return trials
 }
@@ -201,8 +224,8 @@
 		return
 	}
 	e.knownCrashes = map[string]int{}
-	for _, key := range e.keys() {
-		e.knownCrashes[key] = g.quarantine.crashes(key)
+	for _, c := range e.content {
+		e.knownCrashes[c.key] = g.quarantine.crashes(c.key)
 	}
 }
 
@@ -211,7 +234,7 @@
 	if !g.quarantine.suspects.Load() {
 		return false
 	}
-	key := g.quarantine.heldKey(e.keys())
+	key := g.quarantine.heldKey(e.content, g.inTouch())
 	if key == "" {
 		return false
 	}
@@ -237,10 +260,9 @@
 	if !g.quarantine.suspects.Load() {
 		return
 	}
-	keys := e.keys()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e.suspected = g.quarantine.suspected(keys)
+	e.suspected = g.quarantine.suspected(e.content)
 }
 
 // recordCompletion records that an attempt without events was answered. Content under
@@ -266,11 +288,18 @@
 	e.suspected = nil
 }
 
+// inTouch reports whether control confirmed the configuration recently.
+func (g *Gatekeeper) inTouch() bool {
+	active := g.active.Load()
+	return active != nil && g.recentlyConfirmed(active)
+}
+
 // cancelHeld cancels the streams that have not begun and whose content is held by
 // now; mu is held.
 func (g *Gatekeeper) cancelHeld() {
+	inTouch := g.inTouch()
 	for s := range g.streams {
-		if !s.begun.Load() && g.quarantine.heldKey(s.keys) != "" {
+		if !s.begun.Load() && g.quarantine.heldKey(s.content, inTouch) != "" {
 			s.cancel(errHeld)
 		}
 	}
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -44,6 +44,7 @@
 	organisation      string
 	body              []byte
 	fingerprint       string         // fingerprint is the same for all requests with this content of this organisation.
+	content           []contentKey   // content holds the keys by which the request is suspected or held.
 	knownCrashes      map[string]int // knownCrashes holds the crashes that were known under each key when the current attempt was sent.
 	suspected         []string       // suspected holds the keys under which crashes were known when the current attempt's answer began.
 	held              bool           // held means that no attempt was made because the content crashes endpoints.
@@ -178,7 +179,7 @@
 		return false
 	}
 	e.body = body
-	e.fingerprint = quarantiner.Fingerprint(e.organisation, e.r.Host, e.r.Method, e.r.URL.RequestURI(), string(body))
+	e.identifyContent()
 	return true
 }
 
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -35,10 +35,10 @@
 
 // streamAttempt is one attempt whose response is forwarded event by event.
 type streamAttempt struct {
-	target chooser.Target
-	cancel context.CancelCauseFunc
-	keys   []string    // keys holds the keys of the request's content.
-	begun  atomic.Bool // begun means that the first event of the attempt arrived.
+	target  chooser.Target
+	cancel  context.CancelCauseFunc
+	content []contentKey // content holds the keys of the request's content.
+	begun   atomic.Bool  // begun means that the first event of the attempt arrived.
 }
 
 // serveStream forwards a stream and resumes it at another endpoint if it is
@@ -98,7 +98,7 @@
 func (g *Gatekeeper) forwardStream(ctx context.Context, e *exchange, target chooser.Target) (done bool, v verdict, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s := &streamAttempt{target: target, cancel: cancel, keys: e.keys()}
+	s := &streamAttempt{target: target, cancel: cancel, content: e.content}
 	g.addStream(s)
 	outcome := chooser.Failed
 	defer func() { g.removeStream(s, outcome) }()
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -50,6 +50,9 @@
 
 	// The crashes that were known under the content when it was sent.
 	Known int `json:"known,omitempty,omitzero"`
+
+	// The position of a part in its prompt, from 1; 0 for a whole request.
+	Part int `json:"part,omitempty,omitzero"`
 }
 
 // The work that clients asked of one model since the last report.
@@ -466,6 +469,9 @@
 
 	// The revision of the last change.
 	Modified int `json:"modified,omitempty,omitzero"`
+
+	// The lowest position of a part in a prompt, from 1; 0 for a whole request.
+	Part int `json:"part,omitempty,omitzero"`
 }
 
 // What an endpoint says of itself, passed on between control processes.
--- a/internal/quarantiner/changes.go
+++ b/internal/quarantiner/changes.go
@@ -32,32 +32,28 @@
 }
 
 // apply makes the changes that another process sent. Older ones are ignored.
-func (t *Table) apply(changes messenger.QuarantineChanges) []Effect {
+func (t *Table) apply(changes messenger.QuarantineChanges) {
 	if changes.Revision <= t.revision {
-		return nil
+		return
 	}
-	var effects []Effect
 	if changes.Whole {
-		effects = t.removeMissing(changes)
+		t.removeMissing(changes)
 	}
 	for _, r := range changes.Records {
-		effects = append(effects, t.set(r)...)
+		t.set(r)
 	}
 	t.revision = changes.Revision
-	return effects
 }
 
 // removeMissing replaces the records that a whole table lacks by tombstones.
-func (t *Table) removeMissing(changes messenger.QuarantineChanges) []Effect {
+func (t *Table) removeMissing(changes messenger.QuarantineChanges) {
 	present := map[string]bool{}
 	for _, r := range changes.Records {
 		present[r.Key] = true
 	}
-	var effects []Effect
 	for _, r := range t.Records() {
 		if !present[r.Key] {
-			effects = append(effects, t.set(messenger.QuarantineRecord{Key: r.Key, Modified: changes.Revision})...)
+			t.set(messenger.QuarantineRecord{Key: r.Key, Modified: changes.Revision})
 		}
 	}
-	return effects
 }
--- a/internal/quarantiner/messages.go
+++ b/internal/quarantiner/messages.go
@@ -5,23 +5,16 @@
 // Msg is an input of a table.
 type Msg interface{ quarantinerMsg() }
 
-// CrashMsg reports one crashed boot and the content that may have crashed it.
-type CrashMsg struct{ Report messenger.CrashReport }
-
-// SurvivedMsg reports content that began after a crash under it was known, and ran
-// on.
-type SurvivedMsg struct{ Keys []string }
-
-// LapsedMsg ends the suspicion or the hold of content after its time.
-type LapsedMsg struct{ Keys []string }
+// ReportMsg reports crashed boots with the content that may have crashed them, content
+// that ran on after it had begun, and content whose suspicion or hold is over. What
+// several entries saw of one crash is best reported in one message.
+type ReportMsg struct{ Command messenger.QuarantineCommand }
 
 // ApplyMsg carries the changes of another table, of which this one is a copy.
 type ApplyMsg struct{ Changes messenger.QuarantineChanges }
 
-func (CrashMsg) quarantinerMsg()    {}
-func (SurvivedMsg) quarantinerMsg() {}
-func (LapsedMsg) quarantinerMsg()   {}
-func (ApplyMsg) quarantinerMsg()    {}
+func (ReportMsg) quarantinerMsg() {}
+func (ApplyMsg) quarantinerMsg()  {}
 
 // Effect tells what changed.
 type Effect interface{ quarantinerEffect() }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -14,12 +14,16 @@
 
 // crash reports that a boot crashed as content with the given keys began on it, all
 // sent when this number of crashes was known.
-func crash(boot string, known int, keys ...string) quarantiner.CrashMsg {
-	report := messenger.CrashReport{Boot: boot}
+func crash(boot string, known int, keys ...string) quarantiner.ReportMsg {
+	c := messenger.CrashReport{Boot: boot}
 	for _, key := range keys {
-		report.Trials = append(report.Trials, messenger.CrashTrial{Key: key, Known: known})
+		c.Trials = append(c.Trials, messenger.CrashTrial{Key: key, Known: known})
 	}
-	return quarantiner.CrashMsg{Report: report}
+	return report(messenger.QuarantineCommand{Crashes: []messenger.CrashReport{c}})
+}
+
+func report(command messenger.QuarantineCommand) quarantiner.ReportMsg {
+	return quarantiner.ReportMsg{Command: command}
 }
 
 // TestContentIsHeldAfterThreeCrashes guards against content that crashes endpoint
@@ -60,11 +64,11 @@
 	table := quarantiner.New()
 	for i := range 10 {
 		table.Update(crash(fmt.Sprint("boot", i), i, "popular", "deadly"))
-		table.Update(quarantiner.SurvivedMsg{Keys: []string{"popular"}})
+		table.Update(report(messenger.QuarantineCommand{Survived: []string{"popular"}}))
 	}
 	assert.Assert(t, table.Held("deadly"))
 	assert.Equal(t, table.Crashes("popular"), 0)
-	table.Update(quarantiner.SurvivedMsg{Keys: []string{"deadly"}})
+	table.Update(report(messenger.QuarantineCommand{Survived: []string{"deadly"}}))
 	assert.Assert(t, !table.Held("deadly"), "content in flight as its hold began, and that ran on, is sound")
 }
 
@@ -83,7 +87,7 @@
 		now += hold
 		lapsed := timer.Lapsed(now, table.Records())
 		assert.Equal(t, len(lapsed), 1)
-		table.Update(quarantiner.LapsedMsg{Keys: lapsed})
+		table.Update(report(messenger.QuarantineCommand{Lapsed: lapsed}))
 		assert.Assert(t, !table.Held("deadly"))
 		table.Update(crash(fmt.Sprint("boot", now), 1, "deadly"))
 	}
@@ -95,7 +99,7 @@
 	table, timer := quarantiner.New(), quarantiner.NewTimer()
 	table.Update(crash("boot", 0, "a", "b"))
 	assert.Equal(t, len(timer.Lapsed(0, table.Records())), 0)
-	table.Update(quarantiner.LapsedMsg{Keys: timer.Lapsed(quarantiner.FirstHold, table.Records())})
+	table.Update(report(messenger.QuarantineCommand{Lapsed: timer.Lapsed(quarantiner.FirstHold, table.Records())}))
 	assert.Assert(t, table.Empty())
 	assert.Equal(t, len(table.Records()), 0)
 }
@@ -129,9 +133,9 @@
 			case 0, 1, 2:
 				table.Update(crash(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "boot")), rapid.IntRange(0, 1).Draw(t, "known"), key.Draw(t, "key")))
 			case 3:
-				table.Update(quarantiner.SurvivedMsg{Keys: []string{key.Draw(t, "key")}})
+				table.Update(report(messenger.QuarantineCommand{Survived: []string{key.Draw(t, "key")}}))
 			case 4:
-				table.Update(quarantiner.LapsedMsg{Keys: []string{key.Draw(t, "key")}})
+				table.Update(report(messenger.QuarantineCommand{Lapsed: []string{key.Draw(t, "key")}}))
 			case 5:
 				if changes := table.ChangesSince(copied.Revision()); changes != nil {
 					copied.Update(quarantiner.ApplyMsg{Changes: *changes})
