--- a/internal/director/announce.go
+++ b/internal/director/announce.go
@@ -7,8 +7,6 @@
 
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/tracker"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Announce registers an endpoint's announcement. It returns the address to which
@@ -25,6 +23,9 @@
 // handleAnnounce registers an announcement at the leader; other processes forward
 // it or defer it to their next digest.
 func (d *Director) handleAnnounce(ctx context.Context, registration messenger.Registration) messenger.RegistrationAnswer {
+	if registration.Endpoint == nil {
+		return messenger.RegistrationAnswer{Message: "the announcement names no endpoint; send one"}
+	}
 	if _, leading := d.leaderAddress(); !leading {
 		return d.forwardAnnouncement(ctx, registration)
 	}
@@ -38,9 +39,6 @@
 // forwardAnnouncement defers an unchanged announcement to the next digest and
 // forwards any other to the leader.
 func (d *Director) forwardAnnouncement(ctx context.Context, registration messenger.Registration) messenger.RegistrationAnswer {
-	if registration.Endpoint == nil {
-		return messenger.RegistrationAnswer{Message: "the announcement names no endpoint; send one"}
-	}
 	if d.deferToDigest(registration) {
 		return messenger.RegistrationAnswer{Taken: true}
 	}
@@ -59,9 +57,6 @@
 // departure is committed to the log before it is acknowledged, so that later
 // leaders know of it too.
 func (d *Director) registerEndpoint(ctx context.Context, registration messenger.Registration) error {
-	if registration.Endpoint == nil {
-		return errors.New("the announcement names no endpoint; send one")
-	}
 	view := *registration.Endpoint
 	d.mu.Lock()
 	if registration.Gone && view.Born == 0 {
--- a/internal/director/round_test.go
+++ b/internal/director/round_test.go
@@ -320,3 +320,15 @@
 	d.tracker().Update(tracker.AnnounceMsg{Now: now(), Endpoint: messenger.EndpointView{Instance: "e", Born: 5, Address: "e", Service: "s"}})
 	assert.Assert(t, !d.settled(), "a plan was made while endpoints were still appearing")
 }
+
+// TestAnnouncementWithoutEndpointIsRejected guards against a call that ends in a panic
+// at the leader.
+func TestAnnouncementWithoutEndpointIsRejected(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	for _, n := range c.nodes {
+		answer := n.director.handleAnnounce(context.Background(), messenger.Registration{})
+		assert.Assert(t, !answer.Taken && answer.Message != "")
+	}
+	assert.Assert(t, c.leader() == leader)
+}
