Gatekeeper: a refusal must bear the id of its attempt

Here: the echoed attempt id was compared for answers and not for refusals, and net/http returned the connection to the pool with the true answer still to come.

Change: a refusal counts only with the id of its attempt, or without an id on a connection that carried no earlier exchange; anything else may have run. The connection is closed, on the product's own path as well, which compared ids already.

Left: answers to reports and orders of control carry no id on this platform, so that a stale one can not be told.

--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -57,7 +57,7 @@
 		Instance: target.ID, Organisation: e.organisation, Timeout: e.deadline - timekeeper.Now(), LastEventID: e.lastEventID,
 		Urgency: e.urgency(),
 	})
-	response, err := g.endpointClient.Do(request)
+	response, connection, err := g.endpointClient.DoOn(request)
 	if errors.Is(err, transporter.ErrUnreachable) {
 		return nil, ResponseMetadata{}, notExecuted, err
 	}
@@ -66,8 +66,9 @@
 		return nil, ResponseMetadata{}, mayHaveExecuted, err
 	}
 	metadata := g.dialect.ParseResponse(response.StatusCode, response.Header)
-	if metadata.AttemptID != e.metadata.AttemptID && e.metadata.AttemptID != "" && !metadata.NotExecuted {
+	if !answersAttempt(e.metadata.AttemptID, metadata, connection.Reused()) {
 		e.reachedEndpoint = true
+		connection.Abandon()
 		_ = response.Body.Close()
 		return nil, metadata, mayHaveExecuted, errAttemptMismatch
 	}
@@ -80,6 +81,16 @@
 	return response, metadata, answered, nil
 }
 
+// answersAttempt reports whether a response belongs to the attempt with the given id.
+// Faulty endpoints write earlier responses once more. A refusal without an id is
+// believed only where the connection carried no earlier exchange.
+func answersAttempt(id string, metadata ResponseMetadata, reused bool) bool {
+	if metadata.AttemptID == "" && metadata.NotExecuted {
+		return !reused
+	}
+	return id == "" || metadata.AttemptID == id
+}
+
 // recordLoad reports the load that an endpoint attached to its response to the
 // chooser.
 func (g *Gatekeeper) recordLoad(target chooser.Target, metadata ResponseMetadata) {
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -1,10 +1,12 @@
 package gatekeeper_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -641,3 +643,99 @@
 	assert.Equal(t, <-done, "printed")
 	<-drained
 }
+
+// ledger counts how often each request was executed, over all endpoints.
+type ledger struct {
+	mu       sync.Mutex
+	executed map[string]int
+}
+
+func (l *ledger) execute(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.executed[id]++
+}
+
+func (l *ledger) count(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.executed[id]
+}
+
+// addRepeatingEndpoint starts an endpoint of the desk that refuses the first request of
+// each connection, and writes that refusal once more before its answer to each further
+// request, which it executes.
+func (s *testSystem) addRepeatingEndpoint(l *ledger) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(s.t, err)
+	s.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go repeatRefusal(conn, l)
+		}
+	}()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.response.Changes.Endpoints = append(s.response.Changes.Endpoints, messenger.EndpointView{
+		Instance: "repeating", Born: 1, Address: listener.Addr().String(), Service: "desk", Slots: 8,
+	})
+	s.response.Changes.View++
+}
+
+func repeatRefusal(conn net.Conn, l *ledger) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	refusal := ""
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get("Attempt")
+		if refusal == "" {
+			refusal = "HTTP/1.1 503 Service Unavailable\r\nAttempt: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+			_, _ = io.WriteString(conn, refusal)
+			continue
+		}
+		l.execute(id)
+		_, _ = io.WriteString(conn, refusal)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nAttempt: "+id+"\r\nContent-Length: 7\r\n\r\nprinted")
+	}
+}
+
+// TestRefusalWrittenOnceMoreIsNotBelieved guards against an earlier refusal that arrives
+// where the answer to another request is due: the request may be running, and must be
+// neither reported as not run nor sent to a second endpoint.
+func TestRefusalWrittenOnceMoreIsNotBelieved(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	l := &ledger{executed: map[string]int{}}
+	s.addRepeatingEndpoint(l)
+	s.addEndpoint("desk", func(w http.ResponseWriter, r *http.Request) {
+		l.execute(r.Header.Get("Attempt"))
+		_, _ = io.WriteString(w, "printed")
+	})
+	s.start()
+	failed := 0
+	for i := 0; i < 40 && failed == 0; i++ {
+		// The entry leaves an endpoint that refused alone for a moment.
+		time.Sleep(100 * time.Millisecond)
+		id := fmt.Sprint("order", i)
+		response, body, err := s.call(http.MethodPost, "/orders/"+id, "x", "Attempt", id)
+		assert.NilError(t, err)
+		assert.Check(t, l.count(id) <= 1, "%s ran %d times", id, l.count(id))
+		switch response.StatusCode {
+		case http.StatusOK:
+			assert.Check(t, body == "printed" && response.Header.Get("Attempt") == id, "%s: %s for %s", id, body, response.Header.Get("Attempt"))
+		case http.StatusServiceUnavailable:
+			assert.Check(t, l.count(id) == 0, "%s was reported as not run and ran", id)
+		default:
+			failed++
+		}
+	}
+	assert.Check(t, failed > 0, "the endpoint never repeated its refusal")
+}
--- a/internal/supervisor/execute.go
+++ b/internal/supervisor/execute.go
@@ -159,7 +159,7 @@
 	if !a.request.Repeatable {
 		client = s.oneShotClient
 	}
-	response, err := client.Do(request)
+	response, connection, err := client.DoOn(request)
 	if errors.Is(err, transporter.ErrUnreachable) {
 		return messenger.Frame{Verdict: "not-run", Kind: "endpoint-unreachable", Message: "the endpoint could not be reached"}
 	}
@@ -168,6 +168,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if echoed := response.Header.Get("X-Attempt-Id"); echoed != "" && echoed != a.request.Attempt {
+		connection.Abandon()
 		return messenger.Frame{Verdict: "may-have-run", Kind: "foreign-answer", Message: "the endpoint answered another attempt"}
 	}
 	a.setHeader(response.StatusCode, response.Header.Get("Content-Type"))
--- /dev/null
+++ b/internal/transporter/connection.go
@@ -0,0 +1,35 @@
+package transporter
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Connection is the connection of one exchange. It is valid once the exchange has
+// returned.
+type Connection struct {
+	conn   net.Conn
+	reused bool
+}
+
+// Reused reports whether the connection carried an earlier exchange, so that what is
+// read from it may belong to that one.
+func (c *Connection) Reused() bool { return c.reused }
+
+// Abandon closes the connection, so that no later exchange reads from it.
+func (c *Connection) Abandon() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+}
+
+// DoOn is Do, and returns the connection of the exchange too.
+func (c *Client) DoOn(request *http.Request) (*http.Response, *Connection, error) {
+	connection := &Connection{}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connection.conn, connection.reused = info.Conn, info.Reused
+	}}
+	response, err := c.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	return response, connection, err
+}
