Streams: an error of the next endpoint neither continues nor ends a stream

Here, on the path without side processes: an error status was told, but its body was read to the end first, as long as the client waited. A success of another type (the error as JSON, an empty page) was forwarded as events, or ended the stream as complete. On the product's own path any answer that was no stream was written into the open one, with its end.

Cause: the second answer was judged by itself, not as the continuation of the first. Change: it must have the same status and media type as what the client has in part; anything else is a failed attempt, and nothing of it is read or written.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -31,7 +31,9 @@
 	receivedBytes   int
 	streaming       bool
 	headerWritten   bool
+	writtenStatus   int // writtenStatus is the status that was written to the client.
 	resumed         bool
+	foreign         bool // foreign means that the attempt's response does not continue the stream that the client has in part.
 	doneReceived    bool // doneReceived is set by the [DONE] event of a stream.
 	deliveredText   strings.Builder
 	tokenCount      int
@@ -53,6 +55,7 @@
 	r.buffered = nil
 	r.digest = xxhash.New()
 	r.receivedBytes = 0
+	r.foreign = false
 }
 
 // prepareResume makes the next attempt continue after the delivered text, if any
@@ -89,21 +92,30 @@
 	return data
 }
 
+// begin takes the status and type of an attempt's response. Once the client has part
+// of a stream, only another stream of the same status continues it.
+func (r *responseRelay) begin(frame messenger.Frame) {
+	streaming := strings.HasPrefix(frame.ContentType, eventStreamType)
+	if r.headerWritten {
+		r.foreign = !streaming || frame.Status != r.writtenStatus
+		return
+	}
+	r.status, r.contentType, r.streaming = frame.Status, frame.ContentType, streaming
+}
+
 // deliver adds a frame to the response. The dispatcher has already checked the
 // frame's attempt and offset. Data beyond maxResponseBytes is counted but not
 // buffered.
 func (r *responseRelay) deliver(frame messenger.Frame) {
 	if frame.Status > 0 {
-		r.status = frame.Status
-		r.contentType = frame.ContentType
-		r.streaming = strings.HasPrefix(frame.ContentType, eventStreamType)
+		r.begin(frame)
 	}
 	if r.firstByteAt == 0 && len(frame.Data) > 0 {
 		r.firstByteAt = r.now()
 	}
 	_, _ = r.digest.Write(frame.Data)
 	r.receivedBytes += len(frame.Data)
-	if len(r.buffered)+len(frame.Data) > maxResponseBytes {
+	if r.foreign || len(r.buffered)+len(frame.Data) > maxResponseBytes {
 		return
 	}
 	r.buffered = append(r.buffered, frame.Data...)
@@ -199,14 +211,19 @@
 		return
 	}
 	r.headerWritten = true
+	r.writtenStatus = r.status
 	r.w.Header().Set("Content-Type", r.contentType)
 	r.w.Header().Set("X-Request-Id", r.request.id)
 	r.w.WriteHeader(r.status)
 }
 
 // finish writes the rest of a verified response. It returns the result to
-// report, which differs from the given one if the response was too long.
+// report, which differs from the given one if the response was too long or does not
+// continue the stream.
 func (r *responseRelay) finish(result dispatcher.FinishEffect) dispatcher.FinishEffect {
+	if r.foreign {
+		return dispatcher.FinishEffect{Verdict: dispatcher.MayHaveRun, Kind: "stream-not-continued", Message: "the stream broke, and the next group answered with an error"}
+	}
 	if r.streaming {
 		r.writeHeader()
 		if r.doneReceived {
--- a/internal/forwarder/answer_test.go
+++ b/internal/forwarder/answer_test.go
@@ -72,6 +72,29 @@
 	golden.Assert(t, w.Body.String(), "broken-stream.txt")
 }
 
+// TestErrorOfNextGroupIsNotWrittenIntoStream guards against an error response of the
+// group at which a stream is resumed that appears amid the client's events, or that ends
+// the stream as if it were complete.
+func TestErrorOfNextGroupIsNotWrittenIntoStream(t *testing.T) {
+	for _, frame := range []messenger.Frame{
+		{Status: 500, ContentType: "text/plain", Data: []byte("out of memory")},
+		{Status: 500, ContentType: "text/event-stream", Data: []byte("data: out of memory\n\ndata: [DONE]\n\n")},
+		{Status: 200, ContentType: "application/json", Data: []byte(`{"error":"out of memory"}`)},
+		{Status: 200},
+	} {
+		w := httptest.NewRecorder()
+		relay := newResponseRelay(w, &clientRequest{id: "r1", body: []byte(`{"messages":[]}`)})
+		deliverAttempt(relay, roleChunk, contentChunk("here"))
+		begun := w.Body.String()
+		relay.prepareResume()
+		relay.startAttempt()
+		relay.deliver(frame)
+		result := relay.finish(dispatcher.FinishEffect{Verdict: dispatcher.Answered})
+		assert.Equal(t, result.Verdict, dispatcher.MayHaveRun, frame.ContentType)
+		assert.Equal(t, w.Body.String(), begun, "status %d, type %q", frame.Status, frame.ContentType)
+	}
+}
+
 // TestFinalFrameMustMatchLengthAndDigest guards against accepting a response that
 // was truncated or altered on its way from the group.
 func TestFinalFrameMustMatchLengthAndDigest(t *testing.T) {
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -465,6 +465,50 @@
 	assert.Equal(t, s.endpoints[0].requestCount()+s.endpoints[1].requestCount(), 2)
 }
 
+// TestErrorOfSecondEndpointIsNotWrittenIntoStream guards against an error of the
+// endpoint at which a stream is resumed that appears amid the client's events, or that
+// ends the stream as if it were complete.
+func TestErrorOfSecondEndpointIsNotWrittenIntoStream(t *testing.T) {
+	withType := func(contentType string, status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", contentType)
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	for name, second := range map[string]http.HandlerFunc{
+		"server error":         withType("text/plain", http.StatusInternalServerError, "out of memory\n\n"),
+		"server error, events": withType("text/event-stream", http.StatusInternalServerError, "data: out of memory\n\n"),
+		"success of the error": withType("application/json", http.StatusOK, "{\"error\":\"out of memory\"}\n\n"),
+		"success without type": withType("", http.StatusOK, ""),
+		"empty page":           withType("text/html; charset=utf-8", http.StatusOK, ""),
+		"no content":           withType("text/event-stream", http.StatusNoContent, ""),
+		"endless error": func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, time.Minute)
+			for range 2 {
+				s.addEndpoint("writers", func(w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get("Last-Event") == "" {
+						interruptFirstStream(w, r)
+					}
+					second(w, r)
+				})
+			}
+			s.start()
+			start := time.Now()
+			_, body, err := s.call(http.MethodPost, "/verse/1", "prompt")
+			assert.Assert(t, err != nil, "the stream ended as if it were complete")
+			assert.Equal(t, body, completeStream(3))
+			assert.Assert(t, time.Since(start) < 2*time.Second, "the client waited for the error's end")
+		})
+	}
+}
+
 func TestInterruptedStreamOfNonResumableRouteIsAborted(t *testing.T) {
 	s := newSystem(t, time.Minute)
 	s.addEndpoint("writers", interruptFirstStream)
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,10 @@
 // not end in time.
 var errEventTimeout = errors.New("event did not end in time; stream closed")
 
+// errNotContinued is returned for the response of an endpoint at which a stream was
+// to be resumed, if it is an error or no stream.
+var errNotContinued = errors.New("response does not continue the stream; trying another endpoint")
+
 // errEventTooLong is returned for an event above maxEventBytes.
 var errEventTooLong = errors.New("event exceeds the size limit; stream closed")
 
@@ -111,6 +116,9 @@
 		return false, v, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if e.responseStarted && !e.continues(response) {
+		return false, mayHaveExecuted, errors.Wrapf(errNotContinued, "endpoint returned status %d, type %q", response.StatusCode, response.Header.Get("Content-Type"))
+	}
 	if response.StatusCode != http.StatusOK {
 		outcome = chooser.Served
 		return g.forwardFailure(e, response)
@@ -140,11 +148,25 @@
 	e.w.WriteHeader(http.StatusOK)
 }
 
-// forwardFailure forwards an error response of an endpoint, unless the response
-// to the client has started.
+// continues reports whether a response continues the stream that the client has in
+// part: a success of the same media type.
+func (e *exchange) continues(response *http.Response) bool {
+	return response.StatusCode == http.StatusOK && mediaType(response.Header) == mediaType(e.w.Header())
+}
+
+func mediaType(h http.Header) string {
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return kind
+}
+
+// forwardFailure forwards an error response of an endpoint as the response to the
+// client, which has not started.
 func (g *Gatekeeper) forwardFailure(e *exchange, response *http.Response) (bool, verdict, error) {
 	body, err := g.readResponseBody(e, response)
-	if err != nil || e.responseStarted {
+	if err != nil {
 		return false, mayHaveExecuted, errors.Newf("endpoint returned status %d", response.StatusCode)
 	}
 	g.writeResponse(e, response, body)
