Gatekeeper: a resumed stream must go on after the events that the client has

Found while reading the way of the report on errors amid a stream: an endpoint that answers a resumed request with a stream from its first event had it forwarded after the events of the first (ORDER: pieces twice, or of two runs joined).

Change: once the client has part of a stream, an event whose numeric id is not above the last one ends the attempt.

Tested first: TestResumedStreamThatBeginsAnewIsNotForwarded (the stream ended as complete with nine events for six).

--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -509,6 +509,25 @@
 	}
 }
 
+// TestResumedStreamThatBeginsAnewIsNotForwarded guards against events that the client
+// gets twice, or pieces of two runs joined, from an endpoint that does not resume where
+// the last one broke off.
+func TestResumedStreamThatBeginsAnewIsNotForwarded(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	for range 2 {
+		s.addEndpoint("writers", func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last-Event") == "" {
+				interruptFirstStream(w, r)
+			}
+			writeEvents(w, 1, 6)
+		})
+	}
+	s.start()
+	_, body, err := s.call(http.MethodPost, "/verse/1", "prompt")
+	assert.Assert(t, err != nil, "the stream ended as if it were complete")
+	assert.Equal(t, body, completeStream(3))
+}
+
 func TestInterruptedStreamOfNonResumableRouteIsAborted(t *testing.T) {
 	s := newSystem(t, time.Minute)
 	s.addEndpoint("writers", interruptFirstStream)
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,10 @@
 // to be resumed, if it is an error or no stream.
 var errNotContinued = errors.New("response does not continue the stream; trying another endpoint")
 
+// errEventRepeated is returned for an endpoint that does not go on after the events
+// that the client has.
+var errEventRepeated = errors.New("event is not after the last one that the client has; stream closed")
+
 // errEventTooLong is returned for an event above maxEventBytes.
 var errEventTooLong = errors.New("event exceeds the size limit; stream closed")
 
@@ -295,8 +300,13 @@
 	return nil
 }
 
-// writeEvent forwards one event and records its id for a resumption.
+// writeEvent forwards one event and records its id for a resumption. It refuses one
+// that the client has already.
 func (g *Gatekeeper) writeEvent(e *exchange, event []byte) error {
+	id := eventID(event)
+	if e.responseStarted && e.repeats(id) {
+		return errEventRepeated
+	}
 	now := timekeeper.Now()
 	if !e.responseStarted {
 		e.firstEventAt = now
@@ -308,10 +318,27 @@
 	if _, err := e.w.Write(event); err != nil {
 		return err
 	}
+	if id != "" {
+		e.lastEventID = id
+	}
+	return nil
+}
+
+// eventID returns the id of an event, or "" if it has none.
+func eventID(event []byte) string {
+	last := ""
 	for _, line := range bytes.Split(event, []byte("\n")) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.lastEventID = string(bytes.TrimSpace(id))
+			last = string(bytes.TrimSpace(id))
 		}
 	}
-	return nil
+	return last
+}
+
+// repeats reports whether an event with the given id is not after the last one that
+// the client has. Ids that are no numbers can not be compared.
+func (e *exchange) repeats(id string) bool {
+	next, err := strconv.ParseUint(id, 10, 64)
+	last, lastErr := strconv.ParseUint(e.lastEventID, 10, 64)
+	return err == nil && lastErr == nil && next <= last
 }
