Entries act on what an endpoint's answer says of it: leaving, and how long to stay away

First part of the issue 'What an endpoint's answer says of it'. A leaving endpoint was known to an entry by what control told, so that an entry cut off from control went on sending to it; Retry-After of an endpoint was never read.

Change: the adapter reads Server-Leaving from each answer but 421, and Retry-After from 503 (fractions; the longest of several; negative, text, dates and empty values are logged and change nothing). The entry that heard it leaves that boot of the endpoint alone at once, for at most 5 minutes where a time is given, by the clock that goes on in a suspended machine, and returns up to a tenth later. Where all endpoints of a request stay away it is refused at once with the time until one wants requests, spread by a quarter.

Tested first: without the change the tests of chooser and gatekeeper fail (patches under proofs/). TestServerThatLeavesOrStaysAwayGetsNoRequests runs the real programs before stand-in servers.

Not built of the issue: hints to other entries with their age, control and repair weighing it, answers of status checks, what status shows, requests that wait for a short time.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -155,11 +155,12 @@
 	ids        []string       // ids holds the keys of candidates, sorted.
 	inFlight   map[string]int // inFlight counts this entry's requests by endpoint.
 	entryCount int
+	notices    map[string]notice // notices holds what endpoints said of themselves, by endpoint.
 }
 
 // New returns a chooser for an entry in the given failure domain.
 func New(domain string, opts ...Option) *Chooser {
-	c := &Chooser{options: defaults(), domain: domain, candidates: map[string]*candidate{}, inFlight: map[string]int{}}
+	c := &Chooser{options: defaults(), domain: domain, candidates: map[string]*candidate{}, inFlight: map[string]int{}, notices: map[string]notice{}}
 	for _, opt := range opts {
 		opt(&c.options)
 	}
@@ -178,6 +179,8 @@
 		}
 	case AttemptEndedMsg:
 		c.endAttempt(msg)
+	case NoticeMsg:
+		c.addNotice(msg)
 	case LoadMsg:
 		if cand := c.candidates[msg.ID]; cand != nil {
 			cand.reported = msg.Running + msg.Waiting
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -73,6 +73,7 @@
 		return nil, metadata, mayHaveExecuted, errAttemptMismatch
 	}
 	g.recordLoad(target, metadata)
+	g.recordNotice(target, metadata)
 	if metadata.NotExecuted {
 		transporter.Discard(response.Body)
 		return response, metadata, notExecuted, nil
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -74,11 +74,14 @@
 // ResponseMetadata is what an endpoint's response says apart from its status code
 // and body.
 type ResponseMetadata struct {
-	AttemptID   string // AttemptID is the echoed attempt id; empty if the endpoint sent none.
-	NotExecuted bool   // NotExecuted means that the request was not and will not be executed.
-	HasLoad     bool   // HasLoad means that Running and Waiting are set.
-	Running     int    // Running is the number of requests that the endpoint executes.
-	Waiting     int    // Waiting is the number of requests in the endpoint's queue.
+	AttemptID   string        // AttemptID is the echoed attempt id; empty if the endpoint sent none.
+	NotExecuted bool          // NotExecuted means that the request was not and will not be executed.
+	HasLoad     bool          // HasLoad means that Running and Waiting are set.
+	Running     int           // Running is the number of requests that the endpoint executes.
+	Waiting     int           // Waiting is the number of requests in the endpoint's queue.
+	Leaving     bool          // Leaving means that the endpoint takes no further requests.
+	StayAway    time.Duration // StayAway is how long the endpoint wants no requests from this entry; 0 if it does not say.
+	Malformed   string        // Malformed is a header of the endpoint that could not be read; empty if there is none.
 }
 
 // Dialect translates the headers that clients and endpoints use.
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -68,7 +68,11 @@
 }
 
 func (testDialect) ParseResponse(status int, h http.Header) gatekeeper.ResponseMetadata {
-	return gatekeeper.ResponseMetadata{AttemptID: h.Get("Attempt"), NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+	away, _ := time.ParseDuration(h.Get("Stay-Away"))
+	return gatekeeper.ResponseMetadata{
+		AttemptID: h.Get("Attempt"), NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		Leaving: h.Get("Leaving") != "", StayAway: away,
+	}
 }
 
 func (testDialect) CopyResponseHeader(out, in http.Header) {
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -47,6 +47,7 @@
 	content           []contentKey   // content holds the keys by which the request is suspected or held.
 	knownCrashes      map[string]int // knownCrashes holds the crashes that were known under each key when the current attempt was sent.
 	suspected         []string       // suspected holds the keys under which crashes were known when the current attempt's answer began.
+	endpointsReturnIn time.Duration  // endpointsReturnIn is when an endpoint wants requests again, if all that serve the request want none; else 0.
 	held              bool           // held means that no attempt was made because the content crashes endpoints.
 	startedAt         time.Duration
 	deadline          time.Duration // deadline is when the client must have its response.
@@ -223,14 +224,21 @@
 		e.outcome = "cut"
 		panic(http.ErrAbortHandler)
 	}
-	after := clientRetryDelay
-	if e.held {
-		after = quarantiner.FirstHold
-	}
-	g.dialect.SetRetryAfter(e.w.Header(), after)
+	g.dialect.SetRetryAfter(e.w.Header(), e.retryDelay())
 	http.Error(e.w, "not run: "+reason, http.StatusServiceUnavailable)
 }
 
+// retryDelay returns when a rejected client should retry.
+func (e *exchange) retryDelay() time.Duration {
+	switch {
+	case e.held:
+		return quarantiner.FirstHold
+	case e.endpointsReturnIn > 0:
+		return e.endpointsReturnIn
+	}
+	return clientRetryDelay
+}
+
 // fail answers that the request may have been executed. It rejects the request if
 // no endpoint has received it, and closes the connection if the response has
 // started.
@@ -305,6 +313,8 @@
 	switch {
 	case !found && !g.chooser.HasCandidate(request.Service, request.Model):
 		return "no endpoint serves it"
+	case !found && g.allStayAway(e, request):
+		return "all endpoints want no requests for a while"
 	case !found:
 		return "no endpoint has a free place"
 	case e.attempts > 0 && !g.retryBudget.TrySpend(e.service.Name):
