--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -179,6 +179,12 @@
 	return g.drainStart.Load() == 0 && g.inTouch()
 }
 
+// inTouch reports whether control confirmed the configuration recently.
+func (g *Gatekeeper) inTouch() bool {
+	active := g.active.Load()
+	return active != nil && g.recentlyConfirmed(active)
+}
+
 // readyLeaseFraction is the part of the lease after which an entry that hears
 // nothing from control is no longer ready. The load balancer needs the rest to
 // notice.
