Gatekeeper: a begun stream whose content is held ends at once

Found while reading the change as a newcomer: a stream that breaks after it has begun waits 1.2 s for an endpoint, also where its content may be sent to none, and counts each look as a held request.

Tested first: TestBegunStreamOfHeldContentEndsAtOnce waited 1.2 s.

--- a/internal/gatekeeper/crash_test.go
+++ b/internal/gatekeeper/crash_test.go
@@ -239,3 +239,37 @@
 
 // quarantineDelay is longer than a report to control and the next sync take.
 const quarantineDelay = 400 * time.Millisecond
+
+// TestBegunStreamOfHeldContentEndsAtOnce guards against a client that waits for an
+// endpoint which its request may not be sent to.
+func TestBegunStreamOfHeldContentEndsAtOnce(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	release := make(chan struct{})
+	for range 2 {
+		s.addEndpoint("writers", func(w http.ResponseWriter, r *http.Request) {
+			writeEvents(w, 1, 3)
+			<-release
+			abortConnection(w, r)
+		})
+	}
+	s.start()
+	type result struct {
+		body string
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		_, body, err := s.call(http.MethodPost, "/verse/deadly", "prompt")
+		done <- result{body, err}
+	}()
+	waitUntil(t, func() bool { return s.endpoints[0].requestCount()+s.endpoints[1].requestCount() == 1 })
+	s.setQuarantine(1, messenger.QuarantineRecord{Key: deadlyKey, Crashes: 3})
+	before := metricLine("papayaseam_held_requests_total")
+	start := time.Now()
+	close(release)
+	r := <-done
+	assert.Assert(t, r.err != nil)
+	assert.Equal(t, r.body, completeStream(3))
+	assert.Assert(t, time.Since(start) < time.Second, "the client waited %s", time.Since(start))
+	assert.Assert(t, metricLine("papayaseam_held_requests_total") != before)
+}
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -78,7 +78,7 @@
 // resumeTimeout for one with a free slot.
 func (g *Gatekeeper) pickOrWait(ctx context.Context, e *exchange) (chooser.Target, bool) {
 	target, ok := g.pickEndpoint(e)
-	if ok || !e.responseStarted || e.attempts >= max(e.route.MaxAttempts, 1) {
+	if ok || !e.responseStarted || e.held || e.attempts >= max(e.route.MaxAttempts, 1) {
 		return target, ok
 	}
 	ctx, cancel := context.WithTimeout(ctx, resumeTimeout)
