--- a/internal/gatekeeper/crash_test.go
+++ b/internal/gatekeeper/crash_test.go
@@ -228,8 +228,7 @@
 	}
 	s.start()
 	for i := range 8 {
-		_, _, _ = s.callWithParts(i, "shared tainted")
-		time.Sleep(quarantineDelay)
+		s.waitForReports(func() { _, _, _ = s.callWithParts(i, "shared tainted") })
 		response, body, err := s.callWithParts(i, "shared")
 		assert.NilError(t, err)
 		assert.Equal(t, response.StatusCode, http.StatusOK, "request %d: %s", i, body)
@@ -237,8 +236,27 @@
 	assert.Assert(t, s.endedEndpoints() <= 5, "%d endpoints ended", s.endedEndpoints())
 }
 
-// quarantineDelay is longer than a report to control and the next sync take.
-const quarantineDelay = 400 * time.Millisecond
+// waitForReports makes a call and, if endpoints crashed under it, waits until the entry
+// has reported that and has learned control's answer.
+func (s *testSystem) waitForReports(call func()) {
+	ended := s.endedEndpoints()
+	call()
+	if s.endedEndpoints() == ended {
+		return
+	}
+	reportedBoots := func() int {
+		boots := map[string]bool{}
+		for _, command := range s.reported() {
+			for _, c := range command.Crashes {
+				boots[c.Boot] = true
+			}
+		}
+		return len(boots)
+	}
+	waitUntil(s.t, func() bool { return reportedBoots() == s.endedEndpoints() })
+	syncs := s.syncCount()
+	waitUntil(s.t, func() bool { return s.syncCount() > syncs+1 })
+}
 
 // TestBegunStreamOfHeldContentEndsAtOnce guards against a client that waits for an
 // endpoint which its request may not be sent to.
