Timekeeper: one Sleep in place of three copies

Found while reading the whole change again: gatekeeper had got a copy of director's sleep, and faker had another. One function serves the three; behaviour is the same (faker's timer is now stopped when its context ends). No test changed.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -321,21 +321,11 @@
 		start := time.Now()
 		step(ctx)
 		if wake != nil {
-			sleep(ctx, restFactor*time.Since(start))
+			timekeeper.Sleep(ctx, restFactor*time.Since(start))
 		}
 	}
 }
 
-// sleep waits for d or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // triggerPlan starts the next plan early.
 func (d *Director) triggerPlan() {
 	select {
--- a/internal/director/quarantine.go
+++ b/internal/director/quarantine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/timekeeper"
 )
 
 const (
@@ -33,7 +34,7 @@
 	}
 	batch, mustRun := d.joinQuarantineBatch(command)
 	if mustRun {
-		sleep(ctx, gatherPeriod)
+		timekeeper.Sleep(ctx, gatherPeriod)
 		d.commitQuarantineBatch(context.WithoutCancel(ctx), batch)
 	}
 	select {
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/timekeeper"
 	"papayaseam/internal/transporter"
 
 	"github.com/charmbracelet/log"
@@ -122,11 +123,11 @@
 // while after that, so that work which comes too late is seen.
 func (e *Endpoint) Drain(ctx context.Context) {
 	e.setLeaving()
-	sleep(ctx, leaveGrace)
+	timekeeper.Sleep(ctx, leaveGrace)
 	e.setRefusing()
-	sleep(ctx, leaveLinger)
+	timekeeper.Sleep(ctx, leaveLinger)
 	for e.Open() > 0 && ctx.Err() == nil {
-		sleep(ctx, relinkMs*time.Millisecond)
+		timekeeper.Sleep(ctx, relinkMs*time.Millisecond)
 	}
 }
 
@@ -142,14 +143,6 @@
 	e.refusing = true
 }
 
-// sleep waits for a time or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (e *Endpoint) announcement() (messenger.Announcement, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/gatekeeper/report.go
+++ b/internal/gatekeeper/report.go
@@ -41,7 +41,7 @@
 // reportQuarantine sends what waits to the first control process that commits it, and
 // keeps it for later if there is none.
 func (g *Gatekeeper) reportQuarantine(ctx context.Context) {
-	sleep(ctx, reportDelay)
+	timekeeper.Sleep(ctx, reportDelay)
 	g.mu.Lock()
 	command := g.quarantine.takePending()
 	addresses := g.controlAddresses()
@@ -60,19 +60,9 @@
 		g.log.Debug("control process did not commit crashes under requests", "control", address, "err", err)
 	}
 	g.log.Warn("crashes under requests not reported; trying again", "crashes", len(command.Crashes))
-	sleep(ctx, reportRetryDelay)
+	timekeeper.Sleep(ctx, reportRetryDelay)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quarantine.putBack(command)
 	g.quarantine.poke()
 }
-
-// sleep waits for d or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -11,6 +11,7 @@
 package timekeeper
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -25,3 +26,14 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Sleep waits for d or until the context ends. Time for which the machine is suspended
+// does not count.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
