Director: log the proof on which members become free, and what an order was decided on

group released has proof= (head-left, head-ended, head-stalled, never-opened) and a counter by proof; order has accepted-orders= and report-age-ms=. No change of logic.

--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -244,6 +244,7 @@
 	orders := p.Update(msg)
 	d.logCensus(service.Name, p)
 	d.logGroupChanges(before, p.Groups())
+	d.logReleases(p.Releases())
 	for _, order := range orders {
 		d.sendOrder(ctx, order)
 	}
@@ -323,6 +324,14 @@
 	}
 }
 
+// logReleases logs the proof on which the members of each released group became free.
+func (d *Director) logReleases(releases []placer.Release) {
+	for _, r := range releases {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`papayaseam_group_releases_total{proof=%q}`, r.Proof)).Inc()
+		d.log.Info("group released", "name", r.Group, "proof", r.Proof)
+	}
+}
+
 // currentDemand returns for each model the number of instances that its measured
 // work keeps busy; empty before any was measured. The caller holds mu.
 func (d *Director) currentDemand() map[string]float64 {
--- a/internal/director/orders.go
+++ b/internal/director/orders.go
@@ -20,6 +20,7 @@
 		return
 	}
 	d.fleet.token++
+	decidedAt := now()
 	term, token := d.term, d.term*placer.EpochsPerTerm+d.fleet.token
 	d.spawnLocked("order", func() {
 		d.orderSlots <- struct{}{}
@@ -32,7 +33,8 @@
 		defer cancel()
 		started, err := d.endpoints.Order(callCtx, e.View, order, token)
 		d.recordOrderResult(e.View, order, started, err)
-		d.log.Info("order", "endpoint", order.Instance, "op", order.Op, "group", order.Group, "model", order.Model, "token", token, "err", err)
+		d.log.Info("order", "endpoint", order.Instance, "op", order.Op, "group", order.Group, "model", order.Model, "token", token,
+			"accepted-orders", order.AcceptedOrders, "report-age-ms", (decidedAt - e.ReportedAt).Milliseconds(), "err", err)
 		if !started {
 			// An endpoint that starts to carry out an order announces itself.
 			d.pollEndpoint(ctx, e.View, reportTimeout)
--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -110,7 +110,7 @@
 		p.startClose(g, reason, true)
 		return
 	}
-	p.release(g)
+	p.release(g, ProofNeverOpened)
 }
 
 // open orders the head to serve, as long as all members stay in the group.
@@ -192,7 +192,7 @@
 	}
 	switch p.health(g.Head()) {
 	case dead:
-		p.release(g)
+		p.release(g, ProofHeadEnded)
 		return
 	case unreachable:
 		p.detachMembers(g)
@@ -201,7 +201,7 @@
 	g.detachedAt = 0
 	switch p.headState(g) {
 	case "":
-		p.release(g)
+		p.release(g, ProofHeadLeft)
 	case MemberClosing:
 		if g.Cutover {
 			p.sendOrder(g, g.Head(), Order{Op: OpLeave})
@@ -235,7 +235,7 @@
 		g.detachedAt = p.msg.Now
 	}
 	if g.detachedAt != 0 && p.msg.Now-g.detachedAt > p.options.stallTimeout {
-		p.release(g)
+		p.release(g, ProofHeadStalled)
 	}
 }
 
@@ -245,8 +245,10 @@
 	return g.State == Closing && g.detachedAt != 0 && m != g.Head() && p.health(m) == healthy && !p.inGroup(g, m)
 }
 
-// release ends a group, which frees its members.
-func (p *Placer) release(g *Group) {
+// release ends a group, which frees its members. The proof says why its head can no
+// longer serve.
+func (p *Placer) release(g *Group, proof Proof) {
+	p.releases = append(p.releases, Release{Group: g.Name, Proof: proof})
 	p.ended[g.Name] = true
 	delete(p.groups, g.Name)
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -118,6 +118,23 @@
 // Head returns the member of rank 0.
 func (g *Group) Head() Member { return g.Members[0] }
 
+// Proof is why the head of a released group can no longer serve.
+type Proof string
+
+// The proofs.
+const (
+	ProofNeverOpened Proof = "never-opened" // ProofNeverOpened means that the head was never ordered to open the group.
+	ProofHeadLeft    Proof = "head-left"    // ProofHeadLeft means that the head reported that it is not in the group.
+	ProofHeadEnded   Proof = "head-ended"   // ProofHeadEnded means that the head's boot has ended.
+	ProofHeadStalled Proof = "head-stalled" // ProofHeadStalled means that a member left longer ago than a head can stall.
+)
+
+// Release is the end of a group whose members became free.
+type Release struct {
+	Group string
+	Proof Proof
+}
+
 // PlanMsg is the input of one plan. Times are readings of a monotonic clock.
 type PlanMsg struct {
 	Now              time.Duration
@@ -150,6 +167,7 @@
 	msg          PlanMsg
 	byID         map[string]tracker.Endpoint // byID holds the endpoints of msg by instance.
 	orders       []Order
+	releases     []Release
 }
 
 // New returns a Placer for one leadership term.
@@ -171,10 +189,13 @@
 	return groups
 }
 
+// Releases returns the groups that the last plan released.
+func (p *Placer) Releases() []Release { return p.releases }
+
 // Update computes one plan and returns the orders to send now.
 func (p *Placer) Update(msg PlanMsg) []Order {
 	p.msg = msg
-	p.orders = nil
+	p.orders, p.releases = nil, nil
 	p.byID = map[string]tracker.Endpoint{}
 	for _, e := range msg.Endpoints {
 		p.byID[e.View.Instance] = e
