--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -25,7 +25,9 @@
 	report       messenger.EndpointReport
 	domain       string
 	alive        bool
-	partitioned  bool // partitioned endpoints serve but cannot be reached by the control process.
+	partitioned  bool                     // partitioned endpoints serve but cannot be reached by the control process.
+	refuses      bool                     // refuses means that a cut refuses the connections of the control process to a partitioned endpoint, or that it crashed on a running instance.
+	known        messenger.EndpointReport // known is the report as of the last contact.
 	highestToken int
 	highestEpoch int
 	members      []string
@@ -151,17 +153,30 @@
 func (c *cluster) planMsg() PlanMsg {
 	msg := PlanMsg{Now: c.now, Service: "s", Engine: testEngine, Demand: c.demand}
 	for _, e := range c.endpoints {
-		endpoint := tracker.Endpoint{View: e.view, Report: e.report, LastHeard: c.now, ReportedAt: c.now}
-		if !e.alive || e.partitioned {
-			endpoint.LastHeard = c.now - time.Hour
-			endpoint.FailingSince = c.now - time.Hour
-			endpoint.FailedCalls = MinFailedCalls
-		}
-		msg.Endpoints = append(msg.Endpoints, endpoint)
+		msg.Endpoints = append(msg.Endpoints, c.tracked(e))
 	}
 	return msg
 }
 
+// tracked returns what the control process knows of an endpoint.
+func (c *cluster) tracked(e *fakeEndpoint) tracker.Endpoint {
+	reachable := e.alive && !e.partitioned
+	if reachable {
+		e.known = e.report
+	}
+	endpoint := tracker.Endpoint{View: e.view, Report: e.known, LastHeard: c.now, ReportedAt: c.now}
+	switch {
+	case reachable:
+	case e.refuses:
+		endpoint.FailingSince, endpoint.FailedCalls, endpoint.BootEnded = c.now, 1, true
+	default:
+		endpoint.LastHeard = c.now - time.Hour
+		endpoint.FailingSince = c.now - time.Hour
+		endpoint.FailedCalls = MinFailedCalls
+	}
+	return endpoint
+}
+
 // completePending applies the state changes and loads of an endpoint that are due.
 func (c *cluster) completePending(e *fakeEndpoint) {
 	if !e.alive {
