A refused connection no longer proves the end of a boot: members leave first

An endpoint was joined to another group while the head of its group, which it had not left, was open.

Cause: one fact was believed on the proof of another. A call that the address of an endpoint refuses, or that another endpoint answers there, marked the boot as ended (ErrBootEnded); the placer releases the group of an ended head at once, unasked. Behind a cut that refuses, the head serves on. Class: a failure to reach is taken for an end.

Ruled out: an old report (the joins were decided on reports 6 to 373 ms old, and proof=head-ended released the groups), two leaders (one term throughout).

Change: three facts, three proofs. - A boot has ended when a later boot is heard from, under its identity or at its address. The tracker keeps RefusedSince apart from BootEnded; an announcement of a replaced boot no longer revives it. - A member has left when it reports so, or has answered an order to leave. - A refused endpoint is unreachable at once, not after 700 ms: its members are told to leave right away. Speed comes from asking early. The view keeps refused endpoints, so that entries still send to a head that serves; they are probed like silent ones, not left out until they announce themselves.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -84,12 +84,13 @@
 	Report(ctx context.Context, endpoint messenger.EndpointView) (messenger.EndpointReport, int, error)
 	// Order sends one order with a fencing token. It reports whether the endpoint
 	// started to carry it out; false without an error means that there was nothing
-	// to do.
+	// to do. An order to leave a group has taken effect if there is no error.
 	Order(ctx context.Context, endpoint messenger.EndpointView, order placer.Order, token int) (started bool, err error)
 }
 
-// ErrBootEnded marks errors of calls that show that the endpoint's boot has ended.
-var ErrBootEnded = errors.New("endpoint boot has ended; wait for the announcement of its next boot")
+// ErrNotAtAddress marks errors of calls that the endpoint's address refused, or that
+// another endpoint answered there. The boot has ended, or runs on behind a cut.
+var ErrNotAtAddress = errors.New("the endpoint does not answer at its address; wait until it is heard from, or its next boot is")
 
 // ErrSuperseded marks orders that an endpoint rejected because it has seen a newer
 // epoch or fencing token. The caller must read its state before the next order.
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -291,7 +291,7 @@
 // unheard reports whether an endpoint has neither reported its state nor missed
 // enough calls to count as unresponsive.
 func unheard(e tracker.Endpoint) bool {
-	return e.ReportedAt == 0 && !e.BootEnded && e.FailedCalls < placer.MinFailedCalls
+	return e.ReportedAt == 0 && !e.BootEnded && e.RefusedSince == 0 && e.FailedCalls < placer.MinFailedCalls
 }
 
 // logCensus logs once a second how many endpoints of a service are in each state,
--- a/internal/director/orders.go
+++ b/internal/director/orders.go
@@ -58,6 +58,10 @@
 	if started {
 		d.tracker().Update(tracker.OrderStartedMsg{Now: now(), ID: view.Instance, BootTime: view.Born})
 	}
+	if err == nil && order.Op == placer.OpLeave &&
+		d.tracker().Update(tracker.LeftMsg{Now: now(), ID: view.Instance, BootTime: view.Born, Group: order.Group, Epoch: order.Epoch}) {
+		d.triggerPlan()
+	}
 	p := d.fleet.placers[view.Service]
 	switch {
 	case err == nil || p == nil:
@@ -77,8 +81,8 @@
 		return "holds"
 	case errors.Is(err, ErrSuperseded):
 		return "superseded"
-	case errors.Is(err, ErrBootEnded):
-		return "ended"
+	case errors.Is(err, ErrNotAtAddress):
+		return "refused"
 	}
 	return "failed"
 }
--- a/internal/director/poll.go
+++ b/internal/director/poll.go
@@ -57,6 +57,7 @@
 		for _, g := range p.Groups() {
 			for i, m := range g.Members {
 				switch {
+				case p.HasDetached(g, m):
 				case stalled[g.Head().Instance]:
 					roles[m.Instance] = prober.Stalled
 				case g.State != placer.Open:
@@ -83,17 +84,17 @@
 	switch {
 	case err == nil && born == view.Born:
 		msg = tracker.ReportMsg{Now: now(), ID: view.Instance, BootTime: view.Born, Report: report}
-	case err == nil:
-		msg = tracker.CallFailedMsg{CalledAt: start, ID: view.Instance, BootTime: view.Born, BootEnded: true}
+	case err == nil && born > view.Born:
+		msg = tracker.LaterBootMsg{ID: view.Instance, BootTime: view.Born}
 	default:
-		msg = tracker.CallFailedMsg{CalledAt: start, ID: view.Instance, BootTime: view.Born, BootEnded: errors.Is(err, ErrBootEnded)}
+		msg = tracker.CallFailedMsg{CalledAt: start, ID: view.Instance, BootTime: view.Born, Refused: errors.Is(err, ErrNotAtAddress)}
 	}
 	before, _ := d.tracker().Endpoint(view.Instance)
 	if d.tracker().Update(msg) {
 		d.triggerPlan()
 	}
 	after, _ := d.tracker().Endpoint(view.Instance)
-	if (before.FailingSince == 0) != (after.FailingSince == 0) || before.BootEnded != after.BootEnded {
-		d.log.Info("endpoint", "id", view.Instance, "answers", after.FailingSince == 0, "ended", after.BootEnded, "err", err)
+	if (before.FailingSince == 0) != (after.FailingSince == 0) || (before.RefusedSince == 0) != (after.RefusedSince == 0) || before.BootEnded != after.BootEnded {
+		d.log.Info("endpoint", "id", view.Instance, "boot", view.Born, "answers", after.FailingSince == 0, "refused", after.RefusedSince != 0, "replaced", after.BootEnded, "answering-boot", born, "err", err)
 	}
 }
--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -168,7 +168,7 @@
 	switch {
 	case reachable:
 	case e.refuses:
-		endpoint.FailingSince, endpoint.FailedCalls, endpoint.BootEnded = c.now, 1, true
+		endpoint.FailingSince, endpoint.FailedCalls, endpoint.RefusedSince = c.now, 1, c.now
 	default:
 		endpoint.LastHeard = c.now - time.Hour
 		endpoint.FailingSince = c.now - time.Hour
--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -133,7 +133,7 @@
 	for _, m := range g.Members {
 		switch p.health(m) {
 		case dead:
-			return "member " + m.Instance + " has terminated"
+			return "member " + m.Instance + " was replaced by a later boot"
 		case unreachable:
 			if !progressing {
 				return "member " + m.Instance + " is unreachable"
@@ -239,8 +239,10 @@
 	}
 }
 
-// hasDetached reports whether a member has left a closing group whose head is
+// HasDetached reports whether a member has left a closing group whose head is
 // unreachable, so that it can join another one.
+func (p *Placer) HasDetached(g Group, m Member) bool { return p.hasDetached(&g, m) }
+
 func (p *Placer) hasDetached(g *Group, m Member) bool {
 	return g.State == Closing && g.detachedAt != 0 && m != g.Head() && p.health(m) == healthy && !p.inGroup(g, m)
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -14,9 +14,9 @@
 // response only costs time. Three rules make a plan safe:
 //
 //   - A group is opened only after every member reported ready under its epoch.
-//   - Its members join another group only after its head reported that it left,
-//     has certainly ended, or has stalled for longer than the endpoints' own
-//     stall limit.
+//   - A member joins another group only after it left, or after its head reported
+//     that it left, was replaced by a later boot, or has stalled for longer than the
+//     endpoints' own stall limit.
 //   - Epochs and fencing tokens increase across all groups and leaders.
 package placer
 
@@ -219,8 +219,8 @@
 const (
 	healthy     memberHealth = iota // healthy members respond and are not leaving.
 	leaving                         // leaving members are shutting down and still serve for a while.
-	unreachable                     // unreachable members do not respond to the control process but may still serve, as a leaving one does that no longer listens.
-	dead                            // dead members are processes that have certainly ended.
+	unreachable                     // unreachable members do not respond to the control process, or refuse its connections, but may still serve.
+	dead                            // dead members were replaced by a later boot.
 )
 
 // health classifies a member by the last plan input.
@@ -229,9 +229,9 @@
 	switch {
 	case !ok:
 		return unreachable
-	case e.View.Born != m.BootTime || (e.BootEnded && !e.View.Leaving):
+	case e.View.Born > m.BootTime || e.BootEnded:
 		return dead
-	case e.BootEnded || p.isUnreachable(e) || e.ReportedAt == 0:
+	case e.View.Born < m.BootTime || p.isUnreachable(e) || e.ReportedAt == 0:
 		return unreachable
 	case e.View.Leaving:
 		return leaving
@@ -244,10 +244,10 @@
 // process.
 const MinFailedCalls = 2
 
-// isUnreachable reports whether an endpoint has neither answered MinFailedCalls calls
-// nor been heard of otherwise for the configured time.
+// isUnreachable reports whether an endpoint refuses connections, or has neither
+// answered MinFailedCalls calls nor been heard of otherwise for the configured time.
 func (p *Placer) isUnreachable(e tracker.Endpoint) bool {
-	return e.FailingSince != 0 && e.FailedCalls >= MinFailedCalls && p.msg.Now-e.FailingSince > p.options.unreachableAfter && p.msg.Now-e.LastHeard > p.options.unreachableAfter
+	return e.RefusedSince != 0 || e.FailingSince != 0 && e.FailedCalls >= MinFailedCalls && p.msg.Now-e.FailingSince > p.options.unreachableAfter && p.msg.Now-e.LastHeard > p.options.unreachableAfter
 }
 
 // inGroup reports whether the member's last report places it in the group under
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -266,7 +266,7 @@
 	assert.DeepEqual(t, joiningInstances(p.Update(msg)), []string(nil))
 	msg.Now += time.Second
 	msg.Endpoints[0].View.Leaving = true
-	msg.Endpoints[0].BootEnded = true
+	msg.Endpoints[0].RefusedSince = msg.Now
 	assert.Equal(t, len(joiningInstances(p.Update(msg))), 0, "released before its member left")
 	msg.Now += time.Second
 	assert.DeepEqual(t, joiningInstances(p.Update(msg)), []string(nil))
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -58,7 +58,7 @@
 	Head          // Head leads a group that serves.
 	Changing      // Changing is a member of a group that is being formed or changed.
 	Stalled       // Stalled is a member of a group that makes no progress.
-	suspect       // suspect endpoints did not respond to the last probe.
+	suspect       // suspect endpoints did not respond to the last probe, or refused it.
 )
 
 // baseIntervals are the probe intervals while the call rate is within the bound.
@@ -67,7 +67,7 @@
 // roleOf returns the role that determines the probe interval of an endpoint.
 func roleOf(msg TickMsg, e tracker.Endpoint) Role {
 	role := msg.Roles[e.View.Instance]
-	if e.FailingSince != 0 && (role == Idle || role == Head) {
+	if e.RefusedSince != 0 || (e.FailingSince != 0 && (role == Idle || role == Head)) {
 		return suspect
 	}
 	return role
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -9,7 +9,8 @@
 //
 // Boots are distinguished by their start times. Of two boots with the same
 // address or the same identity the later one is kept, and messages from the
-// earlier one are ignored.
+// earlier one are ignored. Only a later boot proves that an earlier one has ended:
+// an endpoint whose connections are refused may run on behind a network cut.
 package tracker
 
 import (
@@ -27,7 +28,8 @@
 	ReportedAt   time.Duration // ReportedAt is when Report was last updated.
 	FailingSince time.Duration // FailingSince is when the first of the failed calls began; 0 if the last call succeeded.
 	FailedCalls  int           // FailedCalls is the number of consecutive failed calls.
-	BootEnded    bool          // BootEnded is set if a call showed that this boot no longer runs.
+	RefusedSince time.Duration // RefusedSince is when the first call was made that the endpoint's address refused; 0 if it has been heard from since.
+	BootEnded    bool          // BootEnded is set if a later boot answered under the same identity.
 
 	announced      membership    // announced is the membership in the latest announcement.
 	maxEpoch       int           // maxEpoch is the highest epoch that the endpoint reported.
@@ -88,10 +90,25 @@
 
 // CallFailedMsg records that a call to an endpoint failed.
 type CallFailedMsg struct {
-	CalledAt  time.Duration
-	ID        string
-	BootTime  int
-	BootEnded bool // BootEnded is set if the failure shows that this boot no longer runs.
+	CalledAt time.Duration
+	ID       string
+	BootTime int
+	Refused  bool // Refused is set if the endpoint's address refused the call, or another endpoint answered there.
+}
+
+// LaterBootMsg records that a later boot answered under an endpoint's identity.
+type LaterBootMsg struct {
+	ID       string
+	BootTime int // BootTime is the start time of the boot that has ended.
+}
+
+// LeftMsg records that an endpoint has carried out an order to leave a group.
+type LeftMsg struct {
+	Now      time.Duration
+	ID       string
+	BootTime int
+	Group    string
+	Epoch    int
 }
 
 // ExpireMsg removes the endpoints that were not heard from for more than
@@ -106,6 +123,8 @@
 func (LeaveMsg) trackerMsg()        {}
 func (ReportMsg) trackerMsg()       {}
 func (CallFailedMsg) trackerMsg()   {}
+func (LaterBootMsg) trackerMsg()    {}
+func (LeftMsg) trackerMsg()         {}
 func (OrderStartedMsg) trackerMsg() {}
 func (ExpireMsg) trackerMsg()       {}
 
@@ -154,6 +173,10 @@
 		return t.report(msg)
 	case CallFailedMsg:
 		return t.callFailed(msg)
+	case LaterBootMsg:
+		return t.laterBoot(msg)
+	case LeftMsg:
+		return t.left(msg)
 	case OrderStartedMsg:
 		t.orderStarted(msg)
 	case ExpireMsg:
@@ -188,9 +211,7 @@
 	before := e.View
 	before.Sequence = view.Sequence
 	e.View = view
-	e.LastHeard = msg.Now
-	e.FailingSince, e.FailedCalls = 0, 0
-	e.BootEnded = false
+	e.heardFrom(msg.Now)
 	changed := before != view
 	if msg.Report != nil {
 		changed = t.applyAnnounced(e, *msg.Report, msg.Now) || changed
@@ -205,9 +226,13 @@
 		return
 	}
 	e.View.Sequence = msg.Sequence
-	e.LastHeard = msg.Now
-	e.FailingSince, e.FailedCalls = 0, 0
-	e.BootEnded = false
+	e.heardFrom(msg.Now)
+}
+
+// heardFrom records that the boot runs.
+func (e *Endpoint) heardFrom(now time.Duration) {
+	e.LastHeard = max(e.LastHeard, now)
+	e.FailingSince, e.FailedCalls, e.RefusedSince = 0, 0, 0
 }
 
 // reportPrecedence is how long a report returned by a call takes precedence over
@@ -345,9 +370,7 @@
 	if !ok || e.View.Born != msg.BootTime {
 		return false
 	}
-	e.LastHeard = max(e.LastHeard, msg.Now)
-	e.FailingSince, e.FailedCalls = 0, 0
-	e.BootEnded = false
+	e.heardFrom(msg.Now)
 	report := msg.Report
 	if e.orderStartedAt != 0 && msg.Now-e.orderStartedAt < maxReportDelay {
 		report.Orders = max(report.Orders, e.Report.Orders)
@@ -366,8 +389,8 @@
 	return report
 }
 
-// callFailed counts a failed call. It reports whether the call was the first to
-// show that the boot has ended.
+// callFailed counts a failed call. It reports whether the call was the first that
+// was refused.
 func (t *Tracker) callFailed(msg CallFailedMsg) bool {
 	e, ok := t.endpoints[msg.ID]
 	if !ok || e.View.Born != msg.BootTime {
@@ -377,9 +400,35 @@
 		e.FailingSince = msg.CalledAt
 	}
 	e.FailedCalls++
-	changed := msg.BootEnded && !e.BootEnded
-	e.BootEnded = e.BootEnded || msg.BootEnded
-	return changed
+	if !msg.Refused || e.RefusedSince != 0 {
+		return false
+	}
+	e.RefusedSince = msg.CalledAt
+	return true
+}
+
+// laterBoot marks a boot as ended. The later boot replaces it once it announces
+// itself.
+func (t *Tracker) laterBoot(msg LaterBootMsg) bool {
+	e, ok := t.endpoints[msg.ID]
+	if !ok || e.View.Born != msg.BootTime || e.BootEnded {
+		return false
+	}
+	e.BootEnded = true
+	t.endedBoots[msg.ID] = max(t.endedBoots[msg.ID], msg.BootTime)
+	return true
+}
+
+// left ends a membership before the endpoint's reports show it. Reports that were
+// under way at that time do not revert it.
+func (t *Tracker) left(msg LeftMsg) bool {
+	e, ok := t.endpoints[msg.ID]
+	if !ok || e.View.Born != msg.BootTime || e.Report.Group != msg.Group || e.Report.Epoch != msg.Epoch {
+		return false
+	}
+	e.Report.Group, e.Report.Epoch, e.Report.Rank, e.Report.State = "", 0, 0, ""
+	e.announcedAt = msg.Now
+	return true
 }
 
 // expire removes the endpoints that were silent for too long and reports whether
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -262,3 +262,43 @@
 	}
 	return false
 }
+
+// TestOnlyALaterBootEndsABoot guards against a boot that counts as ended since its address
+// refused calls, as it does behind a cut.
+func TestOnlyALaterBootEndsABoot(t *testing.T) {
+	tr := New()
+	announce := func(sequence int) {
+		tr.Update(AnnounceMsg{Now: time.Second, Endpoint: messenger.EndpointView{Instance: "i-1", Born: 5, Address: "a:1", Sequence: sequence}})
+	}
+	announce(1)
+	refused := CallFailedMsg{CalledAt: 2 * time.Second, ID: "i-1", BootTime: 5, Refused: true}
+	assert.Assert(t, tr.Update(refused), "the first refusal was not reported as a change")
+	refused.CalledAt += time.Second
+	assert.Assert(t, !tr.Update(refused))
+	e, _ := tr.Endpoint("i-1")
+	assert.Assert(t, !e.BootEnded && e.RefusedSince == 2*time.Second, "%+v", e)
+	announce(2)
+	e, _ = tr.Endpoint("i-1")
+	assert.Equal(t, e.RefusedSince, time.Duration(0), "an endpoint that was heard from still counts as refusing")
+	assert.Assert(t, tr.Update(LaterBootMsg{ID: "i-1", BootTime: 5}))
+	announce(3)
+	e, _ = tr.Endpoint("i-1")
+	assert.Assert(t, e.BootEnded, "a late announcement revived a boot that was replaced")
+}
+
+// TestAnsweredLeaveEndsTheMembership guards against reports that were under way when an
+// order to leave was answered, and would put the endpoint back into its group.
+func TestAnsweredLeaveEndsTheMembership(t *testing.T) {
+	tr := New()
+	member := messenger.EndpointReport{Group: "large/7", Epoch: 7, Rank: 1, State: "ready"}
+	tr.Update(AnnounceMsg{Now: time.Second, Endpoint: messenger.EndpointView{Instance: "i-1", Born: 5, Address: "a:1", Sequence: 1}, Report: &member})
+	assert.Assert(t, !tr.Update(LeftMsg{Now: 2 * time.Second, ID: "i-1", BootTime: 5, Group: "large/6", Epoch: 6}))
+	assert.Assert(t, tr.Update(LeftMsg{Now: 2 * time.Second, ID: "i-1", BootTime: 5, Group: "large/7", Epoch: 7}))
+	tr.Update(ReportMsg{Now: 2*time.Second + 100*time.Millisecond, ID: "i-1", BootTime: 5, Report: member})
+	e, _ := tr.Endpoint("i-1")
+	assert.Equal(t, e.Report.Group, "")
+	joined := messenger.EndpointReport{Group: "small/9", Epoch: 9, State: "joining"}
+	tr.Update(ReportMsg{Now: 2*time.Second + 200*time.Millisecond, ID: "i-1", BootTime: 5, Report: joined})
+	e, _ = tr.Endpoint("i-1")
+	assert.Equal(t, e.Report.Group, "small/9")
+}
