Entries tell control of broken streams at once, so that a crash is found sooner

Cause: the leader finds a crashed endpoint at its next probe, 0.2 s (heads) or 0.5 s (members) apart, though entries lose their streams in the same moment.

Change: an entry whose stream at a head broke tells control, once in 250 ms and boot; the leader makes the probes of that group's members due at the next tick. Speed comes from asking early: the word of an entry proves nothing, what counts is what the members answer.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -153,6 +153,7 @@
 	orderSlots  chan struct{} // orderSlots is a semaphore that holds an element for each order in flight.
 	rounds      *batcher.Batcher[messenger.Confirmation]
 	planTrigger chan struct{} // planTrigger starts the next plan early.
+	pollTrigger chan struct{} // pollTrigger starts the next round of probes early.
 	logBytes    int
 
 	nextReadID uint64
@@ -186,7 +187,7 @@
 func New(cfg Config, endpoints EndpointClient, logger *log.Logger) (*Director, error) {
 	d := &Director{
 		cfg: cfg, log: logger, client: transporter.NewClient(transporter.WithDialTimeout(dialTimeout)), endpoints: endpoints,
-		inbox: make(chan any, inboxCapacity), peerQueues: map[string]chan messenger.ReplicaMessage{}, exited: make(chan string, exitedCapacity), orderSlots: make(chan struct{}, maxConcurrentOrders), planTrigger: make(chan struct{}, 1),
+		inbox: make(chan any, inboxCapacity), peerQueues: map[string]chan messenger.ReplicaMessage{}, exited: make(chan string, exitedCapacity), orderSlots: make(chan struct{}, maxConcurrentOrders), planTrigger: make(chan struct{}, 1), pollTrigger: make(chan struct{}, 1),
 		proposals: map[uint64]chan result{}, reads: map[uint64][]chan result{}, waiters: map[int]waiter{},
 		seeds: cfg.Seeds, lastHeard: map[string]time.Duration{}, state: cataloguer.New(), fleet: newFleet(), collector: newCollector(), holdTimer: quarantiner.NewTimer(),
 	}
@@ -243,7 +244,7 @@
 	} else {
 		defer func() { _ = d.journal.Close() }()
 		d.spawn("plan", func() { runEveryOrWoken(ctx, planInterval, d.planTrigger, d.plan) })
-		d.spawn("poll", func() { runEveryOrWoken(ctx, pollInterval, make(chan struct{}), d.poll) })
+		d.spawn("poll", func() { runEveryOrWoken(ctx, pollInterval, d.pollTrigger, d.poll) })
 		d.spawn("endpoint-records", func() { runEvery(ctx, recordInterval, d.commitEndpointRecords) })
 		d.spawn("quarantine", func() { runEvery(ctx, lapseInterval, d.commitLapses) })
 		d.spawn("hint", func() { runEvery(ctx, hintInterval, d.sendHints) })
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -28,6 +28,7 @@
 	transporter.Handle(mux, "POST /fleet/announce", d.handleAnnounce)
 	transporter.Handle(mux, "POST /fleet/document", d.handleDocument)
 	transporter.Handle(mux, "POST /fleet/quarantine", d.handleQuarantine)
+	transporter.Handle(mux, "POST /fleet/doubt", d.handleDoubt)
 }
 
 // Sync returns what an entry lacks of the configuration and the view of the fleet:
--- a/internal/gatekeeper/doubt_test.go
+++ b/internal/gatekeeper/doubt_test.go
@@ -27,3 +27,25 @@
 	g.fleet.Groups[0].Doubted = false
 	assert.Assert(t, !g.servesDoubted())
 }
+
+// TestBrokenStreamsAreToldOncePerBoot guards against a report for each of the streams that
+// one crash breaks, and against reports of streams that ended otherwise.
+func TestBrokenStreamsAreToldOncePerBoot(t *testing.T) {
+	g := New(Config{Name: "entry-1"}, nil, log.New(io.Discard))
+	end := func(bootTime int, group string, outcome chooser.Outcome) {
+		s := &streamAttempt{target: chooser.Target{ID: "e1", BootTime: bootTime, Group: group}}
+		g.addStream(s)
+		g.removeStream(s, outcome)
+	}
+	end(5, "g", chooser.Served)
+	end(5, "g", chooser.Canceled)
+	end(5, "", chooser.Failed)
+	assert.Equal(t, len(g.doubts.pending), 0)
+	for range 20 {
+		end(5, "g", chooser.Failed)
+	}
+	end(6, "g", chooser.Failed)
+	assert.Equal(t, len(g.doubts.pending), 2)
+	assert.DeepEqual(t, <-g.doubts.pending, messenger.Doubt{Instance: "e1", Born: 5})
+	assert.DeepEqual(t, <-g.doubts.pending, messenger.Doubt{Instance: "e1", Born: 6})
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -142,6 +142,7 @@
 	fleet         chooser.FleetMsg
 	checks        map[bootKey]*processCheck
 	quarantine    *quarantine
+	doubts        *doubts
 }
 
 type demandKey struct{ service, model string }
@@ -162,7 +163,7 @@
 		bufferPool:     transporter.NewPool(bufferPoolBytes),
 		chooser:        chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name)), chooser.WithName(cfg.Name)), retryBudget: retrier.New(cfg.RetryRatio*retryRatioShare, maxEarnedRetries),
 		throttler: throttler.New(), clientRetries: newClientRetryDetector(), streams: map[*streamAttempt]struct{}{}, observations: map[string]*observation{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
-		checks: map[bootKey]*processCheck{}, quarantine: newQuarantine(logger),
+		checks: map[bootKey]*processCheck{}, quarantine: newQuarantine(logger), doubts: newDoubts(),
 	}
 }
 
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -203,7 +203,11 @@
 			delete(g.observations, s.target.ID)
 		}
 	}
-	g.chooser.Update(chooser.AttemptEndedMsg{ID: s.target.ID, Now: timekeeper.Now(), Outcome: outcome})
+	now := timekeeper.Now()
+	if outcome == chooser.Failed {
+		g.doubts.add(s.target, now)
+	}
+	g.chooser.Update(chooser.AttemptEndedMsg{ID: s.target.ID, Now: now, Outcome: outcome})
 }
 
 func (g *Gatekeeper) recordActivity(s *streamAttempt) {
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -35,7 +35,12 @@
 		defer close(reported)
 		g.runQuarantine(ctx)
 	}()
-	defer func() { <-reported }()
+	doubted := make(chan struct{})
+	go func() {
+		defer close(doubted)
+		g.reportDoubts(ctx)
+	}()
+	defer func() { <-reported; <-doubted }()
 	for ctx.Err() == nil {
 		pause := syncInterval
 		switch {
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -122,6 +122,25 @@
 	Version int `json:"version,omitempty,omitzero"`
 }
 
+// An entry lost its connections to a head, or hears nothing on them, so that its
+// group may have lost a member.
+type Doubt struct {
+	// Born corresponds to the JSON schema field "born".
+	Born int `json:"born,omitempty,omitzero"`
+
+	// Hops corresponds to the JSON schema field "hops".
+	Hops int `json:"hops,omitempty,omitzero"`
+
+	// Instance corresponds to the JSON schema field "instance".
+	Instance string `json:"instance,omitempty,omitzero"`
+}
+
+// Whether the leader asks the members of the group.
+type DoubtAnswer struct {
+	// Accepted corresponds to the JSON schema field "accepted".
+	Accepted bool `json:"accepted,omitempty,omitzero"`
+}
+
 // The state of an engine as it reports it.
 type EndpointReport struct {
 	// Active corresponds to the JSON schema field "active".
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -94,7 +94,11 @@
 // Msg is an input of the prober.
 type Msg interface{ proberMsg() }
 
+// AskMsg makes a probe of the instance ID due at the next tick.
+type AskMsg struct{ ID string }
+
 func (TickMsg) proberMsg()      {}
+func (AskMsg) proberMsg()       {}
 func (ProbeDoneMsg) proberMsg() {}
 
 // Prober keeps the time of the last probe of each endpoint and the calls in flight.
@@ -116,6 +120,8 @@
 		return p.tick(msg)
 	case ProbeDoneMsg:
 		delete(p.inFlight, msg.ID)
+	case AskMsg:
+		delete(p.lastProbed, msg.ID)
 	}
 	return nil
 }
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -102,3 +102,21 @@
 	p.Update(ProbeDoneMsg{ID: "e0000"})
 	assert.Equal(t, len(p.Update(TickMsg{Now: time.Hour, Endpoints: list})), 1)
 }
+
+// TestAskedEndpointIsProbedAtTheNextTick guards against crashes that are found at the next
+// turn of an endpoint, although somebody asked for it.
+func TestAskedEndpointIsProbedAtTheNextTick(t *testing.T) {
+	p, list := New(), makeEndpoints(3)
+	probed := func(now time.Duration) []string {
+		var ids []string
+		for _, probe := range p.Update(TickMsg{Now: now, Endpoints: list}) {
+			ids = append(ids, probe.Endpoint.View.Instance)
+			p.Update(ProbeDoneMsg{ID: probe.Endpoint.View.Instance})
+		}
+		return ids
+	}
+	assert.Equal(t, len(probed(time.Second)), 3)
+	p.Update(AskMsg{ID: "e0001"})
+	assert.DeepEqual(t, probed(time.Second+tickInterval), []string{"e0001"})
+	assert.DeepEqual(t, probed(time.Second+2*tickInterval), []string(nil))
+}
