A join takes effect only on the state that it was decided on

TestJoinIsBoundToTheReportThatDecidedIt shows it and failed before.

Cause: open carries the number of orders that its endpoint had accepted, join did not.

Change: join carries it too. An endpoint that has accepted another order meanwhile rejects the join, and it is decided again in the next plan, on the report that is read at once, not after the retry interval.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -96,6 +96,10 @@
 // epoch or fencing token. The caller must read its state before the next order.
 var ErrSuperseded = errors.New("endpoint rejected a superseded order; abandon its group")
 
+// ErrOutdated marks orders that an endpoint rejected because its state is not the one
+// that they were decided on. The caller must decide again on a newer report.
+var ErrOutdated = errors.New("endpoint's state has changed since the order was decided; decide again on its next report")
+
 // Config configures one control process.
 type Config struct {
 	Name              string
--- a/internal/director/orders.go
+++ b/internal/director/orders.go
@@ -29,6 +29,7 @@
 			d.log.Info("order withheld", "endpoint", order.Instance, "op", order.Op, "group", order.Group, "token", token, "reason", "leadership is not confirmed by a quorum")
 			return
 		}
+		d.recordOrderSent(e.View, order)
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		started, err := d.endpoints.Order(callCtx, e.View, order, token)
@@ -49,13 +50,24 @@
 	return d.term == term && d.mayAct()
 }
 
+// recordOrderSent prepares the endpoint table for the effect of an order to leave, which
+// may be announced before the order is answered.
+func (d *Director) recordOrderSent(view messenger.EndpointView, order placer.Order) {
+	if order.Op != placer.OpLeave {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tracker().Update(tracker.LeaveSentMsg{ID: view.Instance, BootTime: view.Born, Group: order.Group, Epoch: order.Epoch})
+}
+
 // recordOrderResult counts the outcome of an order and updates the endpoint table
 // and the placer.
 func (d *Director) recordOrderResult(view messenger.EndpointView, order placer.Order, started bool, err error) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`papayaseam_orders_total{op=%q,result=%q}`, order.Op, orderResultLabel(started, err))).Inc()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if started {
+	if started && order.Op != placer.OpLeave {
 		d.tracker().Update(tracker.OrderStartedMsg{Now: now(), ID: view.Instance, BootTime: view.Born})
 	}
 	if err == nil && order.Op == placer.OpLeave &&
@@ -69,6 +81,8 @@
 		p.RecordStageFailure(order.Instance)
 	case errors.Is(err, ErrSuperseded):
 		p.RecordRefusal(order.Group)
+	case errors.Is(err, ErrOutdated):
+		p.RecordOutdated(order)
 	}
 }
 
@@ -81,6 +95,8 @@
 		return "holds"
 	case errors.Is(err, ErrSuperseded):
 		return "superseded"
+	case errors.Is(err, ErrOutdated):
+		return "outdated"
 	case errors.Is(err, ErrNotAtAddress):
 		return "refused"
 	}
--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -330,6 +330,10 @@
 	if o.Epoch < e.highestEpoch || (o.Group == e.report.Group && o.Epoch == e.report.Epoch) {
 		return
 	}
+	if o.AcceptedOrders != e.report.Orders {
+		c.placer.RecordOutdated(o)
+		return
+	}
 	c.checkHeadStopped(e, o)
 	model, _ := testEngine.Model(o.Model)
 	joinDuration := model.ColdLoadTime
--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -32,7 +32,7 @@
 // sendOrder adds an order to the plan, unless the same one was sent to the member
 // within the retry interval.
 func (p *Placer) sendOrder(g *Group, m Member, order Order) {
-	key := string(order.Op) + m.Instance
+	key := orderKey(order.Op, m.Instance)
 	if sentAt, ok := g.lastSent[key]; ok && p.msg.Now-sentAt < p.options.retryInterval {
 		return
 	}
@@ -61,6 +61,17 @@
 	}
 }
 
+// RecordOutdated records that a member rejected an order that was decided on an outdated
+// report, so that it is decided again in the next plan instead of after the retry
+// interval.
+func (p *Placer) RecordOutdated(order Order) {
+	if g := p.groups[order.Group]; g != nil {
+		delete(g.lastSent, orderKey(order.Op, order.Instance))
+	}
+}
+
+func orderKey(op Op, instance string) string { return string(op) + instance }
+
 // formFailure returns why a group that has not opened must be abandoned, or "".
 func (p *Placer) formFailure(g *Group) string {
 	switch {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -67,7 +67,7 @@
 	Model          string
 	Members        []string
 	Cutover        bool // Cutover ends running requests at once instead of waiting for them.
-	AcceptedOrders int  // AcceptedOrders is the number of orders that the endpoint had accepted by its last report.
+	AcceptedOrders int  // AcceptedOrders is the number of orders that the endpoint had accepted by its last report. It rejects an order to join or open if it has accepted others.
 }
 
 // State is the lifecycle state of a group.
--- a/internal/placer/refusal_test.go
+++ b/internal/placer/refusal_test.go
@@ -158,6 +158,32 @@
 	}
 }
 
+// TestJoinIsBoundToTheReportThatDecidedIt guards against a member that joins another group
+// on the word of an old report: a join of its former group, which arrives late, has put it
+// back there meanwhile.
+func TestJoinIsBoundToTheReportThatDecidedIt(t *testing.T) {
+	c := servingCluster()
+	head := c.headOf("large")
+	member := c.endpoint(head.members[1])
+	former := Order{Instance: member.view.Instance, BootTime: member.view.Born, Op: OpJoin, Group: head.report.Group, Epoch: head.report.Epoch, Model: "large", Members: head.members, AcceptedOrders: member.report.Orders + 1}
+	c.cutRefusing(head.view.Instance)
+	for member.report.Group != "" {
+		c.step()
+	}
+	var next []Order
+	for len(next) == 0 {
+		c.now += planInterval
+		next = slices.DeleteFunc(c.placer.Update(c.planMsg()), func(o Order) bool { return o.Op != OpJoin || o.Instance != member.view.Instance })
+	}
+	c.token++
+	token := c.term*EpochsPerTerm + c.token + EpochsPerTerm/2
+	c.deliver(former, token)
+	assert.Equal(t, member.report.Group, head.report.Group, "the late join was not carried out")
+	c.deliver(next[0], token)
+	assert.DeepEqual(t, c.violations, []string(nil))
+	assert.Equal(t, member.report.Group, head.report.Group)
+}
+
 // TestGroupHistoriesUnderRefusingCuts guards against members in two groups in random
 // histories of cuts that refuse, crashes, restarts, departures and leader changes.
 func TestGroupHistoriesUnderRefusingCuts(t *testing.T) {
@@ -166,6 +192,13 @@
 		c.run(20 * time.Second)
 		c.demand = map[string]float64{"large": 4, "small": 4}
 		c.streams = rapid.Bool().Draw(t, "streams")
+		delayedTenths := rapid.SampledFrom([]int{0, 2, 5}).Draw(t, "late-tenths")
+		c.orderDelay = func() time.Duration {
+			if rapid.IntRange(0, 9).Draw(t, "late") >= delayedTenths {
+				return 0
+			}
+			return time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second
+		}
 		for range rapid.IntRange(5, 25).Draw(t, "steps") {
 			id := rapid.SampledFrom(c.endpoints).Draw(t, "endpoint").view.Instance
 			switch rapid.IntRange(0, 7).Draw(t, "action") {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -35,6 +35,7 @@
 	maxEpoch       int           // maxEpoch is the highest epoch that the endpoint reported.
 	announcedAt    time.Duration // announcedAt is when an announcement last changed the membership.
 	orderStartedAt time.Duration // orderStartedAt is when the endpoint last started an order.
+	leaveSent      membership    // leaveSent is the membership that the endpoint was ordered to leave, until it has left.
 }
 
 // membership is the group that an endpoint belongs to and its state there.
@@ -102,6 +103,15 @@
 	BootTime int // BootTime is the start time of the boot that has ended.
 }
 
+// LeaveSentMsg records that an endpoint was ordered to leave a group. The endpoint counts
+// that order once it has left.
+type LeaveSentMsg struct {
+	ID       string
+	BootTime int
+	Group    string
+	Epoch    int
+}
+
 // LeftMsg records that an endpoint has carried out an order to leave a group.
 type LeftMsg struct {
 	Now      time.Duration
@@ -124,6 +134,7 @@
 func (ReportMsg) trackerMsg()       {}
 func (CallFailedMsg) trackerMsg()   {}
 func (LaterBootMsg) trackerMsg()    {}
+func (LeaveSentMsg) trackerMsg()    {}
 func (LeftMsg) trackerMsg()         {}
 func (OrderStartedMsg) trackerMsg() {}
 func (ExpireMsg) trackerMsg()       {}
@@ -175,6 +186,8 @@
 		return t.callFailed(msg)
 	case LaterBootMsg:
 		return t.laterBoot(msg)
+	case LeaveSentMsg:
+		t.leaveSent(msg)
 	case LeftMsg:
 		return t.left(msg)
 	case OrderStartedMsg:
@@ -328,6 +341,7 @@
 // setReport stores a state and reports whether the membership changed.
 func (t *Tracker) setReport(e *Endpoint, report messenger.EndpointReport, now time.Duration) bool {
 	changed := e.Report.Group != report.Group || e.Report.Epoch != report.Epoch || e.Report.State != report.State
+	e.countLeave(&report, now)
 	e.Report = report
 	e.ReportedAt = now
 	e.maxEpoch = max(e.maxEpoch, report.Epoch)
@@ -426,9 +440,29 @@
 	if !ok || e.View.Born != msg.BootTime || e.Report.Group != msg.Group || e.Report.Epoch != msg.Epoch {
 		return false
 	}
-	e.Report.Group, e.Report.Epoch, e.Report.Rank, e.Report.State = "", 0, 0, ""
+	report := e.Report
+	report.Group, report.Epoch, report.Rank, report.State = "", 0, 0, ""
 	e.announcedAt = msg.Now
-	return true
+	return t.setReport(e, report, msg.Now)
+}
+
+// leaveSent records the membership that an endpoint was ordered to leave.
+func (t *Tracker) leaveSent(msg LeaveSentMsg) {
+	if e, ok := t.endpoints[msg.ID]; ok && e.View.Born == msg.BootTime && e.Report.Group == msg.Group && e.Report.Epoch == msg.Epoch {
+		e.leaveSent = membership{group: msg.Group, epoch: msg.Epoch}
+	}
+}
+
+// countLeave counts the order to leave that ended a membership, before the endpoint's
+// reports include it.
+func (e *Endpoint) countLeave(next *messenger.EndpointReport, now time.Duration) {
+	ended := membership{group: e.Report.Group, epoch: e.Report.Epoch}
+	if next.Group != "" || ended.group == "" || ended != e.leaveSent {
+		return
+	}
+	e.leaveSent = membership{}
+	e.orderStartedAt = now
+	next.Orders = max(next.Orders, e.Report.Orders+1)
 }
 
 // expire removes the endpoints that were silent for too long and reports whether
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -302,3 +302,28 @@
 	e, _ = tr.Endpoint("i-1")
 	assert.Equal(t, e.Report.Group, "small/9")
 }
+
+// TestOrderToLeaveCountsOnce guards against orders that endpoints reject, since the count
+// of accepted orders that they were decided on lacks an order to leave or has it twice.
+func TestOrderToLeaveCountsOnce(t *testing.T) {
+	member := messenger.EndpointReport{Group: "large/7", Epoch: 7, State: "ready", Orders: 3}
+	announced := AnnounceMsg{Now: 3 * time.Second, Endpoint: view("i-1", 5, 2, "a:1"), Report: &messenger.EndpointReport{}}
+	answered := LeftMsg{Now: 3 * time.Second, ID: "i-1", BootTime: 5, Group: "large/7", Epoch: 7}
+	late := ReportMsg{Now: 3*time.Second + 100*time.Millisecond, ID: "i-1", BootTime: 5, Report: messenger.EndpointReport{Orders: 3}}
+	counted := ReportMsg{Now: 3*time.Second + 300*time.Millisecond, ID: "i-1", BootTime: 5, Report: messenger.EndpointReport{Orders: 4}}
+	for name, msgs := range map[string][]Msg{
+		"answered": {answered}, "announced": {announced}, "announced first": {announced, answered}, "answered first": {answered, announced},
+		"reported late": {answered, late}, "reported": {announced, answered, late, counted},
+	} {
+		tr := New()
+		tr.Update(AnnounceMsg{Now: time.Second, Endpoint: view("i-1", 5, 1, "a:1"), Report: &member})
+		tr.Update(ReportMsg{Now: 2 * time.Second, ID: "i-1", BootTime: 5, Report: member})
+		tr.Update(LeaveSentMsg{ID: "i-1", BootTime: 5, Group: "large/7", Epoch: 7})
+		for _, msg := range msgs {
+			tr.Update(msg)
+		}
+		e, _ := tr.Endpoint("i-1")
+		assert.Equal(t, e.Report.Orders, 4, name)
+		assert.Equal(t, e.Report.Group, "", name)
+	}
+}
