A member whose boot was not known at take-over is not taken for a later boot

Cause: a new leader adopts the published groups. A member that it does not know yet has no boot; when the endpoint announces itself, any boot is later than none, which counts as proof that the member has ended. Its group is released while it serves.

Change: the boot is filled in when the endpoint is first heard of. Whether that boot is in the group follows from its reports, as for any member.

TestHeadThatAppearsLaterIsNoLaterBoot failed before; TestHeadThatAppearsElsewhereHasLeft holds the other side.

--- a/internal/placer/adopt.go
+++ b/internal/placer/adopt.go
@@ -15,6 +15,7 @@
 	for _, view := range p.msg.KnownGroups {
 		p.adoptKnown(view)
 	}
+	p.identifyMembers()
 	for _, e := range p.msg.Endpoints {
 		r := e.Report
 		if r.Group == "" || r.State == MemberBroken || p.groups[r.Group] != nil || p.ended[r.Group] {
@@ -46,6 +47,18 @@
 	p.groups[g.Name] = g
 }
 
+// identifyMembers completes the members of published groups whose boot was not known when
+// the group was adopted. Whether that boot is in the group follows from its reports.
+func (p *Placer) identifyMembers() {
+	for _, g := range p.groups {
+		for i, m := range g.Members {
+			if m.BootTime == 0 {
+				g.Members[i].BootTime = p.byID[m.Instance].View.Born
+			}
+		}
+	}
+}
+
 // adoptReported reconstructs a group from its members' reports. An incomplete
 // group is closed, or ignored in an observe-only plan.
 func (p *Placer) adoptReported(name string, epoch int) {
