Supervisor: a call that the HTTP library replayed isn't reported as not run

Seen by callers: the verdict `not-run` for a GET of a plain service that had run. The endpoint had taken the call on a connection kept open, closed it without an answer, and then refused connections; the HTTP library had sent the call once more on its own.

Cause: the side process takes a failure to connect as the proof that no byte was sent. It is that only for a call that was never sent; net/http replays a request with a safe method whose connection breaks before an answer, and returns the error of the replay.

Ruled out: the same in the entry. Its messages are POSTs, which the library replays only where nothing was written; calls that may not be repeated have a connection each.

Change: `Connection.Opened` tells whether an exchange got a connection at all. A failure to connect after that is a broken call, not an unsent one.

Conclusion: a refused replay no longer makes a refusal untrue on this path. Found by reading, not by a report.

--- a/internal/supervisor/execute.go
+++ b/internal/supervisor/execute.go
@@ -160,7 +160,7 @@
 		client = s.oneShotClient
 	}
 	response, connection, err := client.DoOn(request)
-	if errors.Is(err, transporter.ErrUnreachable) {
+	if errors.Is(err, transporter.ErrUnreachable) && !connection.Opened() {
 		return messenger.Frame{Verdict: "not-run", Kind: "endpoint-unreachable", Message: "the endpoint could not be reached"}
 	}
 	if err != nil {
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,6 +102,25 @@
 	assert.Equal(t, frame.Replica, "orders@i1#incarnation-1")
 }
 
+// TestReplayedCallIsNotReportedAsNotRun guards against the verdict "not run" for a call
+// that ran, broke and was replayed by the HTTP library, and whose replay was refused.
+func TestReplayedCallIsNotReportedAsNotRun(t *testing.T) {
+	var runs atomic.Int32
+	s := newServing(t, func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 2 {
+			_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+			return
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	for i, verdict := range []string{"answered", "may-have-run"} {
+		request := s.newRequest(fmt.Sprint("a", i))
+		request.Method, request.Body, request.Repeatable = http.MethodGet, nil, true
+		assert.Equal(t, finalFrame(s.submit(request)).Verdict, verdict)
+	}
+	assert.Equal(t, runs.Load(), int32(2))
+}
+
 // TestMisdirectedAttemptsNeverRun guards against running an attempt that is meant
 // for another group, epoch or incarnation of the leader.
 func TestMisdirectedAttemptsNeverRun(t *testing.T) {
--- a/internal/transporter/connection.go
+++ b/internal/transporter/connection.go
@@ -17,6 +17,11 @@
 // read from it may belong to that one.
 func (c *Connection) Reused() bool { return c.reused }
 
+// Opened reports whether a connection was obtained. The HTTP library may replay a
+// request that was sent, so a failure to connect proves that nothing was sent only if
+// none was.
+func (c *Connection) Opened() bool { return c.conn != nil }
+
 // Abandon closes the connection, so that no later exchange reads from it.
 func (c *Connection) Abandon() {
 	if c.conn != nil {
