Supervisor: a lost endpoint that returns has not crashed

Seen by callers: `request-held` until a ticket, for a sound request. Whenever a side process lost its endpoint (a broken call and then a probe that was refused, reset or not answered for 500 ms, or 2 s without an announcement), it counted a crash for everything that ran there. Content that was cut off on two replicas was held for good, though no process had ended.

Cause: one fact served for two. That an endpoint can't be reached is enough to stop sending work to it; that a request has crashed it is another fact, which only the answer of another incarnation proves. The report was made on the first and never looked at again.

Ruled out: reporting only after the proof. The proof takes as long as the endpoint's restart, and until then a request that does crash endpoints would reach one more with each repeat; TestCrashingRequestIsStoppedEverywhere (e2e) demands at most two for six repeats.

Change: the side process keeps what it reported until the endpoint announces itself again. Another incarnation proves the crash; the same one disproves it, and the command `acquit` takes the replica out of the record again, also where the content is held by then. It is repeated with each announcement until control has accepted it. `AbortEffect` says whether the endpoint was lost or has itself announced that its weights are gone, which stays a crash. Crash reports moved to a file of their own.

Remains: while such a cut lasts, content that was lost on two replicas is refused; an entry's own report that reaches control after the acquittal stays counted; a side process that restarts meanwhile has forgotten what to take back. Control processes before this commit skip the command, so all of them must be updated before a side process is.

Conclusion: a cut between a side process and its endpoint no longer holds sound content beyond its own end.

--- a/internal/granter/leader.go
+++ b/internal/granter/leader.go
@@ -155,7 +155,7 @@
 	}
 	m.leadership.serving = complete
 	if !complete {
-		m.emit(AbortEffect{Reason: m.abortReason()})
+		m.emit(AbortEffect{Reason: m.abortReason(), Unproven: !m.endpoint.Up && !m.leadership.endpointCrashed})
 	}
 	m.leadership.endpointCrashed = false
 	m.emit(ServingEffect{Group: m.leadership.Group, Epoch: m.leadership.Spec.Epoch, Complete: complete})
--- a/internal/granter/messages.go
+++ b/internal/granter/messages.go
@@ -84,7 +84,10 @@
 }
 
 // AbortEffect aborts all running work immediately.
-type AbortEffect struct{ Reason string }
+type AbortEffect struct {
+	Reason   string
+	Unproven bool // Unproven means that this instance's endpoint was lost, but may still run.
+}
 
 // DrainEffect refuses new work and lets running work finish.
 type DrainEffect struct{}
--- a/internal/registrar/claim.go
+++ b/internal/registrar/claim.go
@@ -60,6 +60,29 @@
 	return answer
 }
 
+// applyAcquittal takes back the crash of a replica that has not ended, also where the
+// fingerprint is held back, and responds with the number of crashes that are left of
+// each.
+func (r *Registrar) applyAcquittal(index int, crash messenger.CrashRequest) messenger.CrashAnswer {
+	answer := messenger.CrashAnswer{Index: index}
+	for _, fingerprint := range crash.Fingerprints {
+		object, _ := r.Object(KindHold, fingerprint)
+		hold := messenger.HoldSpec{}
+		if object.Hold != nil {
+			hold.Replicas = slices.DeleteFunc(slices.Clone(object.Hold.Replicas), func(replica string) bool { return replica == crash.Replica })
+		}
+		switch {
+		case object.Hold == nil || len(hold.Replicas) == len(object.Hold.Replicas):
+		case len(hold.Replicas) == 0:
+			r.removeObject(index, object)
+		default:
+			r.putObject(index, messenger.Object{Kind: KindHold, Name: fingerprint, Number: object.Number, Hold: &hold})
+		}
+		answer.Crashes = append(answer.Crashes, len(hold.Replicas))
+	}
+	return answer
+}
+
 // pruneHolds drops the oldest crash records beyond the maximum, but none of a
 // fingerprint that is held back.
 func (r *Registrar) pruneHolds(index int) {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -41,6 +41,7 @@
 	CommandTicket = "ticket"
 	CommandClaim  = "claim"
 	CommandCrash  = "crash"
+	CommandAcquit = "acquit"
 	CommandClear  = "clear"
 	CommandAssign = "assign"
 	CommandRead   = "read"
@@ -194,6 +195,8 @@
 		r.effects = append(r.effects, ClaimEffect{r.applyClaim(*command.Claim)})
 	case command.Kind == CommandCrash && command.Crash != nil:
 		r.effects = append(r.effects, CrashEffect{r.applyCrash(msg.Index, *command.Crash)})
+	case command.Kind == CommandAcquit && command.Crash != nil:
+		r.effects = append(r.effects, CrashEffect{r.applyAcquittal(msg.Index, *command.Crash)})
 	case command.Kind == CommandClear && command.Clear != nil:
 		r.applyClear(msg.Index, *command.Clear)
 	case command.Kind == CommandAssign && command.Assignment != nil:
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -200,3 +200,31 @@
 	}
 	return response.Index
 }
+
+// crash applies a command about the crash of a replica and returns the number of crashes
+// of its fingerprint.
+func (r *testRegistrar) crash(kind, replica, fingerprint string) int {
+	r.lastIndex++
+	request := messenger.CrashRequest{Replica: replica, Fingerprints: []string{fingerprint}}
+	for _, effect := range r.Update(CommandMsg{Index: r.lastIndex, Command: messenger.Command{Kind: kind, Crash: &request}}) {
+		if response, ok := effect.(CrashEffect); ok {
+			return response.Answer.Crashes[0]
+		}
+	}
+	return -1
+}
+
+// TestAcquittalLiftsHold guards against a hold that stays until a ticket although the
+// replicas it was based on have not crashed.
+func TestAcquittalLiftsHold(t *testing.T) {
+	r := newTestRegistrar()
+	assert.Equal(t, r.crash(CommandCrash, "a#1", "f"), 1)
+	assert.Equal(t, r.crash(CommandCrash, "b#1", "f"), HoldAfterCrashes)
+	assert.Equal(t, r.crash(CommandAcquit, "c#1", "f"), HoldAfterCrashes, "another replica was acquitted")
+	assert.Equal(t, r.crash(CommandAcquit, "a#1", "f"), 1)
+	assert.Equal(t, r.crash(CommandAcquit, "a#1", "f"), 1, "the same acquittal was applied again")
+	assert.Equal(t, r.crash(CommandAcquit, "b#1", "f"), 0)
+	_, held := r.Object(KindHold, "f")
+	assert.Assert(t, !held)
+	assert.Equal(t, r.crash(CommandAcquit, "b#1", "f"), 0)
+}
--- a/internal/supervisor/execute.go
+++ b/internal/supervisor/execute.go
@@ -11,7 +11,6 @@
 	"papayaseam/internal/admitter"
 	"papayaseam/internal/granter"
 	"papayaseam/internal/messenger"
-	"papayaseam/internal/registrar"
 	"papayaseam/internal/transporter"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +39,8 @@
 		}
 	case messenger.CrashRequest:
 		s.reportCrash(ctx, effect)
+	case acquitEffect:
+		s.acquit(ctx)
 	case probeEffect:
 		s.probeEndpoint(ctx, effect)
 	case connectionLostEffect:
@@ -92,20 +93,6 @@
 	}
 }
 
-// reportCrash reports a crash to the first control process that accepts it.
-func (s *Supervisor) reportCrash(ctx context.Context, crash messenger.CrashRequest) {
-	for _, address := range s.cfg.ControlAddresses {
-		var answer messenger.CommandAnswer
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := s.client.Call(callCtx, "http://"+address+"/inner/command", messenger.Command{Kind: registrar.CommandCrash, Crash: &crash}, &answer)
-		cancel()
-		if err == nil && answer.Crash != nil {
-			s.log.Warn("reported replica crash to control process", "replica", crash.Replica, "fingerprints", len(crash.Fingerprints))
-			return
-		}
-	}
-}
-
 // startAttempt sends an admitted attempt to the endpoint. The caller must hold mu
 // and have checked the members' leases right before.
 func (s *Supervisor) startAttempt(effect admitter.StartEffect) {
@@ -141,7 +128,7 @@
 		s.log.Info("attempt ended", "request", a.request.Request, "attempt", a.request.Attempt, "verdict", final.Verdict, "kind", final.Kind)
 	}
 	if final.Kind == granter.ReasonEndpointDown {
-		s.enqueueEffect(messenger.CrashRequest{Replica: call.replica, Fingerprints: []string{a.request.Fingerprint}})
+		s.reportLoss(call.incarnation, messenger.CrashRequest{Replica: call.replica, Fingerprints: []string{a.request.Fingerprint}})
 	}
 	s.retainResponse(a)
 	s.updateAdmission(admitter.FinishMsg{ID: a.request.Attempt})
--- a/internal/supervisor/serve.go
+++ b/internal/supervisor/serve.go
@@ -108,6 +108,7 @@
 	}
 	s.announcedAt = s.now()
 	s.announcement = announcement
+	s.resolveSuspicions(announcement.Started)
 	s.updateLeaving()
 	s.health.SetReady("endpoint", true)
 	s.updateMembership(granter.EndpointMsg{Endpoint: granter.Endpoint{
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -83,6 +83,8 @@
 	announcement     messenger.Announcement  // announcement is the endpoint's last one; it is empty while the endpoint is down.
 	announcerAddress string                  // announcerAddress is the remote address of the connection that carried the last announcement.
 	announcedAt      time.Duration           // announcedAt is when the last announcement arrived, as returned by now.
+	suspicions       []*suspicion            // suspicions holds the reported crashes that are not proven, oldest first.
+	acquitting       bool                    // acquitting is set while disproved suspicions are being taken back.
 	firstTokenTime   time.Duration           // firstTokenTime is the moving average of the time to the first token.
 	renewAnswers     []messenger.RenewAnswer // renewAnswers collects the answers to the renewal being handled.
 	retiring         bool                    // retiring is set once an operator has asked to replace this instance.
@@ -194,7 +196,7 @@
 		case granter.AnswerEffect:
 			s.renewAnswers = append(s.renewAnswers, effect.Answer)
 		case granter.AbortEffect:
-			s.abortRunning(effect.Reason)
+			s.abortRunning(effect)
 		case granter.DrainEffect:
 			s.log.Info("draining running attempts", "running", s.admitter.Running())
 			s.updateAdmission(admitter.CloseMsg{Reason: admitter.RefusedDraining})
@@ -229,36 +231,6 @@
 	s.syncer.Poke()
 }
 
-// abortRunning aborts all running attempts for the given reason. The caller must
-// hold mu.
-func (s *Supervisor) abortRunning(reason string) {
-	fingerprints := s.admitter.Fingerprints()
-	replica := s.replicaID()
-	for _, effect := range s.admitter.Update(s.now(), admitter.AbortAllMsg{}) {
-		abort, ok := effect.(admitter.AbortEffect)
-		if !ok {
-			continue
-		}
-		a := s.attempts[abort.ID]
-		a.finish(messenger.Frame{Verdict: "may-have-run", Kind: reason, Message: "the group can no longer serve", Replica: replica})
-		a.cancel()
-	}
-	if reason == granter.ReasonEndpointDown && len(fingerprints) > 0 {
-		s.enqueueEffect(messenger.CrashRequest{Replica: replica, Fingerprints: fingerprints})
-	}
-	s.reportRunning()
-}
-
-// replicaID identifies the current incarnation of the group's replica, so that a
-// crash which is reported several times counts once. The caller must hold mu.
-func (s *Supervisor) replicaID() string {
-	assignment, ok := s.granter.LedAssignment()
-	if !ok {
-		assignment = s.granter.Assignment()
-	}
-	return assignment.Group + "#" + s.announcement.Started
-}
-
 // updateAdmission passes msg to the admission state machine and executes the
 // effects. It returns the answer to a RevokeMsg. The caller must hold mu.
 func (s *Supervisor) updateAdmission(msg admitter.Msg) (revoked admitter.RevokedEffect) {
