Granter: a member whose lost endpoint returns tells the leader so

The member withdraws its grant with the reason `endpoint-crashed`, and the leader counts a crash for all that ran in the group.

The leader hears nothing of the endpoint afterwards.

Ruled out: counting only after a proof, which would let a request that crashes a member's endpoint go on to one group after the other until the first has restarted; taking the crash back when the group serves again, which a restarted endpoint can make it do as well.

`AbortEffect` names the member whose endpoint was lost, so that the leader's own endpoint disproves nothing of a member's. The simulation of random faults cuts side processes off from living endpoints.

Remains: if the leader's process or the notice is lost, the count stays.

Conclusion: no member's lost endpoint is counted beyond its return.

--- a/internal/granter/gone_test.go
+++ b/internal/granter/gone_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"papayaseam/internal/messenger"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -74,3 +76,31 @@
 	}
 	assert.Assert(t, !leader.machine.MayDispatch(now))
 }
+
+// noticeReasons returns the reasons of the notices that the effects send.
+func noticeReasons(effects []Effect) []string {
+	var reasons []string
+	for _, effect := range effects {
+		if withdraw, ok := effect.(WithdrawEffect); ok {
+			reasons = append(reasons, withdraw.Notice.Reason)
+		}
+	}
+	return reasons
+}
+
+// TestReturnedEndpointIsTold guards against a leader that takes a member's endpoint as
+// crashed for good although the same incarnation has announced itself again.
+func TestReturnedEndpointIsTold(t *testing.T) {
+	for incarnation, want := range map[string][]string{"0": {ReasonEndpointReturned}, "1": nil} {
+		s, leader := newCompleteGroup(t)
+		member := s.nodes[1]
+		now := s.clock(member)
+		lost := member.machine.Update(now, EndpointMsg{})
+		assert.DeepEqual(t, noticeReasons(lost), []string{ReasonEndpointDown})
+		back := EndpointMsg{Endpoint: Endpoint{Up: true, Incarnation: incarnation}}
+		assert.DeepEqual(t, noticeReasons(member.machine.Update(now, back)), want)
+		assert.Equal(t, len(noticeReasons(member.machine.Update(now, back))), 0, "the notice was sent twice")
+		leader.machine.Update(now, WithdrawMsg{Notice: messenger.WithdrawNotice{Group: "a", Epoch: s.epoch, Instance: "i1", Reason: ReasonEndpointReturned}})
+		assert.Assert(t, leader.machine.MayDispatch(s.clock(leader)), "the notice of a return ended a grant")
+	}
+}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -27,9 +27,10 @@
 
 // Reasons for aborting running work or ending a grant.
 const (
-	ReasonEndpointDown = "endpoint-crashed"
-	ReasonIncomplete   = "group-incomplete"
-	ReasonEpochOver    = "epoch-over"
+	ReasonEndpointDown     = "endpoint-crashed"
+	ReasonEndpointReturned = "endpoint-returned" // ReasonEndpointReturned takes back a notice with ReasonEndpointDown.
+	ReasonIncomplete       = "group-incomplete"
+	ReasonEpochOver        = "epoch-over"
 )
 
 // Assignment is the role that the configuration gives to this instance.
@@ -72,13 +73,13 @@
 // leadership is the state of a leader in one epoch.
 type leadership struct {
 	Assignment
-	grants          map[string]*grant
-	sequence        int
-	nextRenewal     time.Duration
-	serving         bool
-	draining        bool
-	endpointCrashed bool
-	drainDeadline   time.Duration
+	grants        map[string]*grant
+	sequence      int
+	nextRenewal   time.Duration
+	serving       bool
+	draining      bool
+	lostMember    string // lostMember is the member that has withdrawn its grant because it lost its endpoint, or empty.
+	drainDeadline time.Duration
 }
 
 // Machine is the state machine of one instance's group membership. It is not
@@ -92,6 +93,7 @@
 	desiredSince       time.Duration
 	promise            promise
 	endpoint           Endpoint
+	lost               lostEndpoint
 	lastOrder          issuedOrder
 	leadership         *leadership
 	runningCount       int
@@ -101,6 +103,13 @@
 	effects            []Effect
 }
 
+// lostEndpoint is an incarnation of the endpoint that was lost, and the assignment that
+// this instance had then.
+type lostEndpoint struct {
+	incarnation string
+	assignment  Assignment
+}
+
 // issuedOrder identifies the last order given to the endpoint.
 type issuedOrder struct {
 	fencingNumber int
@@ -214,16 +223,34 @@
 	}
 }
 
-// updateEndpoint stores the announced state of the endpoint. After a crash it
-// withdraws the grant, so that the leader needn't wait for it to expire.
+// updateEndpoint stores the announced state of the endpoint. When the endpoint is
+// lost it withdraws the grant, so that the leader needn't wait for it to expire. When
+// the same incarnation returns it tells the leader that the endpoint has not crashed.
 func (m *Machine) updateEndpoint(endpoint Endpoint) {
-	crashed := m.endpoint.Up && (!endpoint.Up || endpoint.Incarnation != m.endpoint.Incarnation)
+	previous := m.endpoint
 	m.endpoint = endpoint
-	if crashed && m.current.Group != "" && !m.current.Standby && m.current.Rank > 0 {
-		m.emit(WithdrawEffect{Leader: m.current.Spec.Members[0], Notice: messenger.WithdrawNotice{
-			Group: m.current.Group, Epoch: m.current.Spec.Epoch, Instance: m.instance, Reason: ReasonEndpointDown,
-		}})
+	if previous.Up && (!endpoint.Up || endpoint.Incarnation != previous.Incarnation) {
+		m.lost = lostEndpoint{previous.Incarnation, m.current}
+		m.notifyLeader(m.current, ReasonEndpointDown)
+	}
+	if !endpoint.Up {
+		return
+	}
+	if endpoint.Incarnation == m.lost.incarnation {
+		m.notifyLeader(m.lost.assignment, ReasonEndpointReturned)
+	}
+	m.lost = lostEndpoint{}
+}
+
+// notifyLeader sends a notice about this instance's endpoint to the leader of an
+// assignment, unless the instance is the leader or a standby itself.
+func (m *Machine) notifyLeader(a Assignment, reason string) {
+	if a.Group == "" || a.Standby || a.Rank == 0 {
+		return
 	}
+	m.emit(WithdrawEffect{Leader: a.Spec.Members[0], Notice: messenger.WithdrawNotice{
+		Group: a.Group, Epoch: a.Spec.Epoch, Instance: m.instance, Reason: reason,
+	}})
 }
 
 // endpointReady reports whether the endpoint is up and has loaded what an
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -243,8 +243,9 @@
 // TestGroupsStayExclusiveUnderRandomFaults guards against two leaders that
 // dispatch to the same instance. It applies random sequences of faults: late and
 // lost messages, partitions, pauses, clock drift, crashed endpoints, side
-// processes that restart without state, instances moved between groups and late
-// configuration. When the faults end, both groups must serve again.
+// processes that restart without state or are cut off from a living endpoint,
+// instances moved between groups and late configuration. When the faults end, both
+// groups must serve again.
 func TestGroupsStayExclusiveUnderRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, 4)
@@ -277,7 +278,7 @@
 // randomStep applies one random fault, message delivery or passage of time.
 func (s *simulation) randomStep(t *rapid.T) {
 	n := rapid.SampledFrom(s.nodes).Draw(t, "instance")
-	switch action := rapid.IntRange(0, 16).Draw(t, "action"); {
+	switch action := rapid.IntRange(0, 17).Draw(t, "action"); {
 	case action < 4 && len(s.inFlight) > 0:
 		s.deliver(rapid.IntRange(0, len(s.inFlight)-1).Draw(t, "message"))
 	case action < 7:
@@ -304,6 +305,8 @@
 		other := rapid.SampledFrom(s.nodes).Draw(t, "other")
 		s.update(n, ConnClosedMsg{Address: other.name})
 		s.update(n, MemberDownMsg{Group: n.machine.current.Group, Epoch: n.machine.current.Spec.Epoch, Instance: other.name})
+	case action == 17:
+		s.update(n, EndpointMsg{})
 	}
 }
 
--- a/internal/granter/leader.go
+++ b/internal/granter/leader.go
@@ -133,13 +133,16 @@
 // handleWithdraw ends the grant of a member that has withdrawn it. Answers in
 // flight are ignored.
 func (m *Machine) handleWithdraw(notice messenger.WithdrawNotice) {
-	if m.leadership == nil || notice.Group != m.leadership.Group || notice.Epoch != m.leadership.Spec.Epoch {
+	if notice.Reason == ReasonEndpointReturned || m.leadership == nil || notice.Group != m.leadership.Group || notice.Epoch != m.leadership.Spec.Epoch {
 		return
 	}
 	if g, ok := m.leadership.grants[notice.Instance]; ok {
 		g.expiresAt = 0
 		clear(g.sentAt)
-		m.leadership.endpointCrashed = notice.Reason == ReasonEndpointDown
+		m.leadership.lostMember = ""
+		if notice.Reason == ReasonEndpointDown {
+			m.leadership.lostMember = notice.Instance
+		}
 	}
 }
 
@@ -155,17 +158,26 @@
 	}
 	m.leadership.serving = complete
 	if !complete {
-		m.emit(AbortEffect{Reason: m.abortReason(), Unproven: !m.endpoint.Up && !m.leadership.endpointCrashed})
+		m.emit(AbortEffect{Reason: m.abortReason(), Lost: m.lostInstance()})
 	}
-	m.leadership.endpointCrashed = false
+	m.leadership.lostMember = ""
 	m.emit(ServingEffect{Group: m.leadership.Group, Epoch: m.leadership.Spec.Epoch, Complete: complete})
 }
 
 // abortReason distinguishes an endpoint crash from other causes of an incomplete
 // group.
 func (m *Machine) abortReason() string {
-	if m.leadership.endpointCrashed || !m.endpoint.Up || m.endpoint.Loaded == "" {
+	if m.leadership.lostMember != "" || !m.endpoint.Up || m.endpoint.Loaded == "" {
 		return ReasonEndpointDown
 	}
 	return ReasonIncomplete
 }
+
+// lostInstance returns the member of the led group that has lost its endpoint, or an
+// empty string if none has.
+func (m *Machine) lostInstance() string {
+	if !m.endpoint.Up {
+		return m.instance
+	}
+	return m.leadership.lostMember
+}
--- a/internal/granter/messages.go
+++ b/internal/granter/messages.go
@@ -23,7 +23,8 @@
 	Answer messenger.RenewAnswer
 }
 
-// WithdrawMsg carries a member's notice that it has withdrawn its grant.
+// WithdrawMsg carries a member's notice that it has withdrawn its grant, or, with
+// ReasonEndpointReturned, that the endpoint it lost has not crashed.
 type WithdrawMsg struct{ Notice messenger.WithdrawNotice }
 
 // ConnClosedMsg reports that a connection to an address has closed.
@@ -77,7 +78,8 @@
 // AnswerEffect answers the renewal being handled.
 type AnswerEffect struct{ Answer messenger.RenewAnswer }
 
-// WithdrawEffect notifies the leader that this member withdraws its grant.
+// WithdrawEffect notifies the leader that this member withdraws its grant, or that its
+// lost endpoint has returned.
 type WithdrawEffect struct {
 	Leader messenger.Member
 	Notice messenger.WithdrawNotice
@@ -85,8 +87,8 @@
 
 // AbortEffect aborts all running work immediately.
 type AbortEffect struct {
-	Reason   string
-	Unproven bool // Unproven means that this instance's endpoint was lost, but may still run.
+	Reason string
+	Lost   string // Lost is the member whose endpoint was lost but may still run, or empty.
 }
 
 // DrainEffect refuses new work and lets running work finish.
--- a/internal/supervisor/crash.go
+++ b/internal/supervisor/crash.go
@@ -13,10 +13,12 @@
 // maxSuspicions bounds the suspicions that are kept; the oldest are dropped.
 const maxSuspicions = 256
 
-// suspicion is a crash that was reported without a proof: the endpoint was lost, but no
-// other incarnation of it has answered.
+// suspicion is a crash that was reported without a proof: a member's endpoint was lost,
+// but no other incarnation of it has answered.
 type suspicion struct {
-	incarnation string
+	instance    string
+	incarnation string // incarnation is set if the instance is this one.
+	epoch       int
 	crash       messenger.CrashRequest
 	disproved   bool // disproved is set once the same incarnation has announced itself again.
 }
@@ -39,10 +41,10 @@
 	}
 	if abortAll.Reason == granter.ReasonEndpointDown && len(fingerprints) > 0 {
 		crash := messenger.CrashRequest{Replica: replica, Fingerprints: fingerprints}
-		if abortAll.Unproven {
-			s.reportLoss(s.announcement.Started, crash)
-		} else {
+		if abortAll.Lost == "" {
 			s.enqueueEffect(crash)
+		} else {
+			s.reportLoss(s.newSuspicion(abortAll.Lost, crash))
 		}
 	}
 	s.reportRunning()
@@ -58,25 +60,54 @@
 	return assignment.Group + "#" + s.announcement.Started
 }
 
-// reportLoss reports fingerprints that ran when an incarnation of the endpoint was lost.
-// The report precedes any proof, so that a request that crashes endpoints reaches no
-// further one in the meantime. The caller must hold mu.
-func (s *Supervisor) reportLoss(incarnation string, crash messenger.CrashRequest) {
-	s.suspicions = append(s.suspicions, &suspicion{incarnation: incarnation, crash: crash})
+// newSuspicion returns the suspicion that follows from the loss of a member's endpoint
+// in the current epoch. The caller must hold mu.
+func (s *Supervisor) newSuspicion(instance string, crash messenger.CrashRequest) *suspicion {
+	open := &suspicion{instance: instance, crash: crash}
+	if instance == s.cfg.Name {
+		open.incarnation = s.announcement.Started
+	}
+	if assignment, ok := s.granter.LedAssignment(); ok {
+		open.epoch = assignment.Spec.Epoch
+	}
+	return open
+}
+
+// reportLoss reports fingerprints that ran when an endpoint was lost. The report
+// precedes any proof, so that a request that crashes endpoints reaches no further one
+// in the meantime. The caller must hold mu.
+func (s *Supervisor) reportLoss(open *suspicion) {
+	s.suspicions = append(s.suspicions, open)
 	s.suspicions = s.suspicions[max(0, len(s.suspicions)-maxSuspicions):]
-	s.enqueueEffect(crash)
+	s.enqueueEffect(open.crash)
 }
 
-// resolveSuspicions settles the suspicions when the endpoint announces itself. Another
-// incarnation proves that the earlier one has ended, the same one disproves it. It is
-// called with each announcement, which also repeats a failed acquittal. The caller must
-// hold mu.
+// resolveSuspicions settles the suspicions about the endpoint when it announces itself.
+// Another incarnation proves that the earlier one has ended, the same one disproves it.
+// It is called with each announcement, which also repeats a failed acquittal. The caller
+// must hold mu.
 func (s *Supervisor) resolveSuspicions(incarnation string) {
 	s.suspicions = slices.DeleteFunc(s.suspicions, func(open *suspicion) bool {
-		open.disproved = open.disproved || open.incarnation == incarnation
-		return !open.disproved
+		own := open.instance == s.cfg.Name
+		open.disproved = open.disproved || (own && open.incarnation == incarnation)
+		return own && !open.disproved
 	})
-	if len(s.suspicions) > 0 && !s.acquitting {
+	s.acquitDisproved()
+}
+
+// memberReturned disproves the suspicions about a member's endpoint in an epoch. The
+// caller must hold mu.
+func (s *Supervisor) memberReturned(notice messenger.WithdrawNotice) {
+	for _, open := range s.suspicions {
+		open.disproved = open.disproved || (open.instance == notice.Instance && open.epoch == notice.Epoch)
+	}
+	s.acquitDisproved()
+}
+
+// acquitDisproved starts to take back the disproved suspicions, if there are any. The
+// caller must hold mu.
+func (s *Supervisor) acquitDisproved() {
+	if !s.acquitting && slices.ContainsFunc(s.suspicions, func(open *suspicion) bool { return open.disproved }) {
 		s.enqueueEffect(acquitEffect{})
 	}
 }
--- a/internal/supervisor/crash_test.go
+++ b/internal/supervisor/crash_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"papayaseam/internal/granter"
 	"papayaseam/internal/messenger"
@@ -103,3 +105,49 @@
 	s.runEffectsUntil(t, func() bool { return len(s.effects) == 0 })
 	assert.Equal(t, c.crashes("f"), 1)
 }
+
+// newLeading returns a side process that leads a group with the member i2, while an
+// attempt with the fingerprint "f" runs.
+func newLeading(t *testing.T) *Supervisor {
+	s := newServing(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	member := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var request messenger.RenewRequest
+		_ = json.NewDecoder(r.Body).Decode(&request)
+		_ = json.NewEncoder(w).Encode(messenger.RenewAnswer{Instance: "i2", Epoch: request.Epoch, Sequence: request.Sequence, Granted: true})
+	}))
+	t.Cleanup(member.Close)
+	s.granter = granter.New("i1", -2*time.Hour, granter.WithGrant(time.Hour, time.Hour))
+	s.mu.Lock()
+	s.updateMembership(granter.EndpointMsg{Endpoint: granter.Endpoint{Up: true, Incarnation: "incarnation-1"}})
+	s.updateMembership(granter.ConfigMsg{Assignment: granter.Assignment{Group: "orders@i1", Spec: messenger.GroupSpec{
+		Service: "orders", Epoch: 3, Active: true,
+		Members: []messenger.Member{{Instance: "i1"}, {Instance: "i2", Address: strings.TrimPrefix(member.URL, "http://")}},
+	}}})
+	s.updateMembership(granter.TickMsg{})
+	s.mu.Unlock()
+	s.runEffectsUntil(t, func() bool { return s.granter.MayDispatch(s.now()) })
+	request := s.newRequest("a1")
+	request.Fingerprint = "f"
+	s.submit(request)
+	assert.Equal(t, s.Open(), 1)
+	return s
+}
+
+// TestLostMemberThatReturnsHasNotCrashed guards against holding back a sound request
+// because a member was cut off from its endpoint while the group ran it.
+func TestLostMemberThatReturnsHasNotCrashed(t *testing.T) {
+	s := newLeading(t)
+	c := attachControl(t, s)
+	notice := messenger.WithdrawNotice{Group: "orders@i1", Epoch: 3, Instance: "i2", Reason: granter.ReasonEndpointDown}
+	s.handleWithdraw(s.baseCtx, notice)
+	s.runEffectsUntil(t, func() bool { return c.crashes("f") == 1 })
+	s.announce("incarnation-1")
+	s.runEffectsUntil(t, func() bool { return len(s.effects) == 0 })
+	assert.Equal(t, c.crashes("f"), 1, "the leader's own endpoint disproved the crash of the member's")
+	notice.Reason = granter.ReasonEndpointReturned
+	s.handleWithdraw(s.baseCtx, notice)
+	s.runEffectsUntil(t, func() bool { return c.crashes("f") == 0 })
+}
--- a/internal/supervisor/execute.go
+++ b/internal/supervisor/execute.go
@@ -11,6 +11,7 @@
 	"papayaseam/internal/admitter"
 	"papayaseam/internal/granter"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/timekeeper"
 	"papayaseam/internal/transporter"
 
 	"github.com/cockroachdb/errors"
@@ -31,12 +32,7 @@
 	case granter.RenewEffect:
 		s.sendRenewal(ctx, effect)
 	case granter.WithdrawEffect:
-		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
-		defer cancel()
-		var response struct{}
-		if err := s.client.Call(callCtx, "http://"+effect.Leader.Address+"/inner/withdraw", effect.Notice, &response); err != nil {
-			s.log.Warn("cannot send withdrawal notice to the leader", "leader", effect.Leader.Instance, "err", err)
-		}
+		s.sendNotice(ctx, effect)
 	case messenger.CrashRequest:
 		s.reportCrash(ctx, effect)
 	case acquitEffect:
@@ -50,6 +46,27 @@
 	}
 }
 
+// sendNotice sends a notice to a leader. A notice that the endpoint has returned is
+// repeated up to returnNoticeTries times, since nothing else takes a crash report back;
+// a lost withdrawal is made up for by the end of the grant.
+func (s *Supervisor) sendNotice(ctx context.Context, effect granter.WithdrawEffect) {
+	tries := 1
+	if effect.Notice.Reason == granter.ReasonEndpointReturned {
+		tries = returnNoticeTries
+	}
+	for range tries {
+		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+		var response struct{}
+		err := s.client.Call(callCtx, "http://"+effect.Leader.Address+"/inner/withdraw", effect.Notice, &response)
+		cancel()
+		if err == nil {
+			return
+		}
+		s.log.Warn("cannot send notice to the leader", "leader", effect.Leader.Instance, "reason", effect.Notice.Reason, "err", err)
+		timekeeper.Sleep(ctx, renewTimeout)
+	}
+}
+
 // connectionLostEffect reports that a connection to an address was closed.
 type connectionLostEffect struct{ address string }
 
@@ -128,7 +145,8 @@
 		s.log.Info("attempt ended", "request", a.request.Request, "attempt", a.request.Attempt, "verdict", final.Verdict, "kind", final.Kind)
 	}
 	if final.Kind == granter.ReasonEndpointDown {
-		s.reportLoss(call.incarnation, messenger.CrashRequest{Replica: call.replica, Fingerprints: []string{a.request.Fingerprint}})
+		crash := messenger.CrashRequest{Replica: call.replica, Fingerprints: []string{a.request.Fingerprint}}
+		s.reportLoss(&suspicion{instance: s.cfg.Name, incarnation: call.incarnation, epoch: call.epoch, crash: crash})
 	}
 	s.retainResponse(a)
 	s.updateAdmission(admitter.FinishMsg{ID: a.request.Attempt})
--- a/internal/supervisor/serve.go
+++ b/internal/supervisor/serve.go
@@ -50,11 +50,15 @@
 	return *load
 }
 
-// handleWithdraw handles a member's notice that it withdraws its lease.
+// handleWithdraw handles a member's notice that it withdraws its lease, or that the
+// endpoint it lost has returned.
 func (s *Supervisor) handleWithdraw(_ context.Context, notice messenger.WithdrawNotice) struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateMembership(granter.WithdrawMsg{Notice: notice})
+	if notice.Reason == granter.ReasonEndpointReturned {
+		s.memberReturned(notice)
+	}
 	return struct{}{}
 }
 
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -43,6 +43,7 @@
 	heartbeatInterval     = time.Second
 	maxResponseBytes      = 16 << 20
 	controlSilenceTimeout = 5 * time.Second // controlSilenceTimeout is how long control may be silent before this process counts as isolated.
+	returnNoticeTries     = 30
 	effectQueueSize       = 1024
 	endedQueueSize        = 1024
 )
