Gatekeeper: the log tells what a broken connection showed and what it proved

What operators saw: "request lost with its endpoint" stands in the log whenever a connection broke and the address then refused a new one.

Change: the check is named for what it observes (isRefused, listenerCheck), and the line says observed=refused and proof=later-boot or proof=none: whether this entry knows of a later boot of the same endpoint or at its address. Nothing is counted otherwise than before.

Evidence: TestLostRequestTellsWhatWasObservedAndProved fails without the two fields.

--- a/internal/gatekeeper/crash.go
+++ b/internal/gatekeeper/crash.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// listenerTimeout bounds the check for an endpoint's process. A refusal takes
+	// listenerTimeout bounds the check of an endpoint's address. A refusal takes
 	// one round trip; a machine without power answers nothing.
 	listenerTimeout = 150 * time.Millisecond
 	// checkTTL lets the requests that lose one endpoint together share a check.
@@ -35,25 +35,26 @@
 	bootTime int
 }
 
-// processCheck is a check of whether an endpoint's process has ended, shared by
-// the requests that lost their connection to it.
-type processCheck struct {
+// listenerCheck is a check of whether an endpoint's address refuses connections,
+// shared by the requests that lost theirs.
+type listenerCheck struct {
 	startedAt time.Duration
 	done      chan struct{}
-	ended     bool // ended may be read once done is closed.
+	refused   bool // refused may be read once done is closed.
 }
 
-// inspectBreak finds out whether an attempt whose connection broke lost the
-// endpoint's process or the connection only, and records the former. Attempts that
-// this entry canceled say nothing about the endpoint.
+// inspectBreak finds out whether an attempt whose connection broke may have lost the
+// endpoint's process, and records this. A refusal does not prove it, since a cut may
+// refuse connections as well; control looks for the proof. Attempts that this entry
+// canceled say nothing about the endpoint.
 func (g *Gatekeeper) inspectBreak(ctx context.Context, e *exchange, target chooser.Target) {
-	if ctx.Err() != nil || g.isLeaving(target) || !g.processEnded(ctx, target) {
+	if ctx.Err() != nil || g.isLeaving(target) || !g.isRefused(ctx, target) {
 		return
 	}
 	requestsLostWithEndpoint.Inc()
 	suspect := e.mayHaveCrashed()
 	g.log.Info("request lost with its endpoint", "attempt", e.metadata.AttemptID, "fingerprint", e.fingerprint, "endpoint", target.ID, "boot", target.BootTime,
-		"group", target.Group, "suspect", suspect, "attempts", e.attempts, "parts", e.metadata.PromptParts)
+		"group", target.Group, "suspect", suspect, "observed", "refused", "proof", g.crashProof(target), "attempts", e.attempts, "parts", e.metadata.PromptParts)
 	if suspect {
 		g.recordCrash(e, target)
 	}
@@ -78,34 +79,46 @@
 	return false
 }
 
-// processEnded reports whether nothing listens any more at the address of an
-// endpoint.
-func (g *Gatekeeper) processEnded(ctx context.Context, target chooser.Target) bool {
+// crashProof returns what proves to this entry that a boot has ended: a later boot of
+// the same endpoint or at its address, or "none".
+func (g *Gatekeeper) crashProof(target chooser.Target) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, view := range g.fleet.Endpoints {
+		if view.Born > target.BootTime && (view.Instance == target.ID || view.Address == target.Address) {
+			return "later-boot"
+		}
+	}
+	return "none"
+}
+
+// isRefused reports whether the address of an endpoint refuses connections.
+func (g *Gatekeeper) isRefused(ctx context.Context, target chooser.Target) bool {
 	check, mine := g.shareCheck(bootKey{target.ID, target.BootTime})
 	if mine {
 		checkCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), listenerTimeout)
 		defer cancel()
-		check.ended = errors.Is(g.endpointClient.CheckListener(checkCtx, target.Address), transporter.ErrRefused)
-		if check.ended {
+		check.refused = errors.Is(g.endpointClient.CheckListener(checkCtx, target.Address), transporter.ErrRefused)
+		if check.refused {
 			endpointCrashes.Inc()
 		}
 		close(check.done)
 	}
 	<-check.done
-	return check.ended
+	return check.refused
 }
 
 // shareCheck returns the current check of a boot, and whether the caller must carry
 // it out.
-func (g *Gatekeeper) shareCheck(key bootKey) (check *processCheck, mine bool) {
+func (g *Gatekeeper) shareCheck(key bootKey) (check *listenerCheck, mine bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := timekeeper.Now()
-	maps.DeleteFunc(g.checks, func(_ bootKey, c *processCheck) bool { return now-c.startedAt > checkTTL })
+	maps.DeleteFunc(g.checks, func(_ bootKey, c *listenerCheck) bool { return now-c.startedAt > checkTTL })
 	if check = g.checks[key]; check != nil {
 		return check, false
 	}
-	check = &processCheck{startedAt: now, done: make(chan struct{})}
+	check = &listenerCheck{startedAt: now, done: make(chan struct{})}
 	g.checks[key] = check
 	return check, true
 }
--- a/internal/gatekeeper/crash_test.go
+++ b/internal/gatekeeper/crash_test.go
@@ -74,6 +74,42 @@
 	assert.Assert(t, metricLine(name) != before)
 }
 
+// TestLostRequestTellsWhatWasObservedAndProved guards against a log in which a cut that
+// refuses connections can't be told from a crash.
+func TestLostRequestTellsWhatWasObservedAndProved(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	var e *fakeEndpoint
+	e = s.addEndpoint("writers", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/later") {
+			s.addSuccessor()
+			syncs := s.syncCount()
+			waitUntil(t, func() bool { return s.syncCount() > syncs+1 })
+		}
+		_ = e.server.Listener.Close()
+		abortConnection(w, r)
+	})
+	s.start()
+	_, _, _ = s.call(http.MethodPost, "/verse/later", "prompt")
+	waitUntil(t, func() bool { return strings.Contains(s.logged.String(), "observed=refused proof=later-boot") })
+
+	s = newSystem(t, time.Minute)
+	s.addCrashingEndpoint("/deadly")
+	s.start()
+	_, _, _ = s.call(http.MethodPost, "/verse/deadly", "prompt")
+	waitUntil(t, func() bool { return strings.Contains(s.logged.String(), "observed=refused proof=none") })
+}
+
+// addSuccessor makes control name a later boot at the address of the first endpoint.
+func (s *testSystem) addSuccessor() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changes := s.response.Changes
+	successor := changes.Endpoints[0]
+	successor.Instance, successor.Born = "successor", successor.Born+1
+	changes.Endpoints = append(slices.Clone(changes.Endpoints), successor)
+	changes.View++
+}
+
 // endedEndpoints returns how many endpoints have crashed.
 func (s *testSystem) endedEndpoints() int {
 	ended := 0
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -140,7 +140,7 @@
 	demand        map[demandKey]float64
 	viewer        *viewer.Viewer
 	fleet         chooser.FleetMsg
-	checks        map[bootKey]*processCheck
+	checks        map[bootKey]*listenerCheck
 	quarantine    *quarantine
 	doubts        *doubts
 }
@@ -163,7 +163,7 @@
 		bufferPool:     transporter.NewPool(bufferPoolBytes),
 		chooser:        chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name)), chooser.WithName(cfg.Name)), retryBudget: retrier.New(cfg.RetryRatio*retryRatioShare, maxEarnedRetries),
 		throttler: throttler.New(), clientRetries: newClientRetryDetector(), streams: map[*streamAttempt]struct{}{}, observations: map[string]*observation{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
-		checks: map[bootKey]*processCheck{}, quarantine: newQuarantine(logger), doubts: newDoubts(),
+		checks: map[bootKey]*listenerCheck{}, quarantine: newQuarantine(logger), doubts: newDoubts(),
 	}
 }
 
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -96,6 +96,25 @@
 	commands   []messenger.QuarantineCommand // commands holds the reports of crashes to control.
 	quarantine *quarantiner.Table            // quarantine, if set, is control's table, driven by the commands.
 	endpoints  []*fakeEndpoint
+	logged     logBuffer // logged is what the entry has logged.
+}
+
+// logBuffer keeps what is written to it. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(data)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 // syncCount returns the number of sync requests to control.
@@ -137,7 +156,7 @@
 	address := strings.TrimPrefix(control.URL, "http://")
 	s.entry = gatekeeper.New(gatekeeper.Config{
 		Name: "entry", FailureDomain: "ne-a", Seeds: []string{address}, Lease: lease, RetryRatio: 1, Decode: testConfiguration,
-	}, testDialect{}, exposer.NewLogger(io.Discard, "entry"))
+	}, testDialect{}, exposer.NewLogger(&s.logged, "entry"))
 	s.server = httptest.NewServer(s.entry)
 	t.Cleanup(s.server.Close)
 	ctx, cancel := context.WithCancel(context.Background())
