Quarantine: a crash is withdrawn as its boot is known to run on

What callers saw: sound requests refused with "its content crashed endpoints and is held for a while", for a minute, though no endpoint had crashed.

Cause: a refused connection was taken as the proof that a request had crashed its endpoint. A cut that refuses or resets gives the same observation and leaves the boot alive. Nothing asked later, and a count could only lapse, or be cleared by a survivor, which content that is held never has.

Ruled out: the weighing of the table. Losses at one moment still count once for what was sent before; the breaks here came in turn.

Designs weighed: - Count only once a later boot is known. The server is back after some three seconds; the fourth and fifth would crash before the hold. Too slow. - Let the entry ask the listener again. A cut outlasts any wait that is short enough, and a listener that accepts again does not tell the next boot from this one. - Count at once and withdraw by boot (chosen). A wrong hold lasts as long as the cut and half a second; a deadly request is held as early as before.

Change: - The leader asks each boot that is reported as crashed for its state, while the reports of others gather, so that this delays nothing. If it answers with the same born, the crash does not count for now; it is asked again after 250 ms, since a process that has closed its listener may answer for a moment, and counted if it is silent then. - A crash that counts is provisional. The leader, also one that took over, asks its boot until a later boot of the endpoint or at its address proves the end, or until an answer that was asked for after the last report proves that it runs on. Endpoints without an engine can't be asked; for them it is an announcement that arrived more than 5 s after the report, since one may have been under way. - The withdrawal is an entry of the control log. It takes the boot out of all records; a boot that was lost at the same moment counts instead. Entries take it out of their own tables too, which is what ends a hold that an entry began without control. - Late reports of an old break lead to a new question and, if the boot answers, to no count. - "reported crash" verdict=ended|running proof=later-boot|report|announcement at the leader, and papayaseam_crash_verdicts_total, tell a cut from a crash.

During an upgrade, processes of the earlier version ignore the withdrawals in the log.

Conclusion: what holds content is still the refusal, since it is early; what keeps it held is that nobody has heard of the boot since.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -184,6 +184,8 @@
 	fleet       fleet
 	holdTimer   *quarantiner.Timer
 	quarantine  *quarantineBatch // quarantine is the batch that reports can still join; nil if there is none.
+	// crashedBoots holds the boots that count as crashed; empty unless this process leads.
+	crashedBoots map[string]*crashedBoot
 }
 
 // New opens the journal, if there is a data folder, and prepares the process. Run
@@ -194,6 +196,7 @@
 		inbox: make(chan any, inboxCapacity), peerQueues: map[string]chan messenger.ReplicaMessage{}, exited: make(chan string, exitedCapacity), orderSlots: make(chan struct{}, maxConcurrentOrders), planTrigger: make(chan struct{}, 1), pollTrigger: make(chan struct{}, 1),
 		proposals: map[uint64]chan result{}, reads: map[uint64][]chan result{}, waiters: map[int]waiter{},
 		seeds: cfg.Seeds, lastHeard: map[string]time.Duration{}, state: cataloguer.New(), fleet: newFleet(), collector: newCollector(), holdTimer: quarantiner.NewTimer(),
+		crashedBoots: map[string]*crashedBoot{},
 	}
 	d.rounds = batcher.New(minRoundInterval, d.runRound)
 	if cfg.DataFolder == "" {
@@ -251,6 +254,7 @@
 		d.spawn("poll", func() { runEveryOrWoken(ctx, pollInterval, d.pollTrigger, d.poll) })
 		d.spawn("endpoint-records", func() { runEvery(ctx, recordInterval, d.commitEndpointRecords) })
 		d.spawn("quarantine", func() { runEvery(ctx, lapseInterval, d.commitLapses) })
+		d.spawn("crashes", func() { runEvery(ctx, askInterval, d.checkCrashes) })
 		d.spawn("hint", func() { runEvery(ctx, hintInterval, d.sendHints) })
 		d.spawn("membership", func() { runEvery(ctx, membershipInterval, d.maintainMembership) })
 		err = d.keepReplicaRunning(ctx)
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -57,6 +57,7 @@
 	folder   string
 	director *Director
 	wrap     func(store) store // wrap, if set, wraps the journal.
+	calls    EndpointClient    // calls, if set, replaces endpoints that do not respond.
 	stop     func()
 }
 
@@ -74,12 +75,15 @@
 }
 
 // newCluster starts a new cluster of three processes with disks.
-func newCluster(t *testing.T) *cluster {
+func newCluster(t *testing.T) *cluster { return newClusterWith(t, nil) }
+
+// newClusterWith is newCluster for processes that call the given endpoints.
+func newClusterWith(t *testing.T, calls EndpointClient) *cluster {
 	c := &cluster{t: t}
 	for range 3 {
 		l := listen(t, "127.0.0.1:0")
 		c.seeds = append(c.seeds, l.Addr().String())
-		c.nodes = append(c.nodes, &node{t: t, listener: l, address: l.Addr().String(), folder: t.TempDir()})
+		c.nodes = append(c.nodes, &node{t: t, listener: l, address: l.Addr().String(), folder: t.TempDir(), calls: calls})
 	}
 	for _, n := range c.nodes {
 		n.start(c.seeds, true)
@@ -93,10 +97,14 @@
 }
 
 func (n *node) start(seeds []string, first bool) {
+	calls := n.calls
+	if calls == nil {
+		calls = unresponsiveEndpoints{}
+	}
 	d, err := New(Config{
 		Name: n.address, Address: n.address, ListenAddress: n.address, Seeds: seeds, FirstStart: first, DataFolder: n.folder, ToleratedLosses: 1,
 		GroupStallTimeout: time.Second, Decode: decodeNumbered,
-	}, unresponsiveEndpoints{}, exposer.NewLogger(io.Discard, n.address))
+	}, calls, exposer.NewLogger(io.Discard, n.address))
 	assert.NilError(n.t, err)
 	if n.wrap != nil {
 		d.journal = n.wrap(d.journal)
--- a/internal/director/quarantine.go
+++ b/internal/director/quarantine.go
@@ -20,11 +20,23 @@
 // quarantineBatch gathers reports that are committed together. Its err is valid once
 // done is closed.
 type quarantineBatch struct {
-	command messenger.QuarantineCommand
+	reports []messenger.QuarantineCommand
 	done    chan struct{}
 	err     error
 }
 
+// command returns all reports of the batch as one command.
+func (b *quarantineBatch) command() messenger.QuarantineCommand {
+	var c messenger.QuarantineCommand
+	for _, r := range b.reports {
+		c.Crashes = append(c.Crashes, r.Crashes...)
+		c.Survived = append(c.Survived, r.Survived...)
+		c.Lapsed = append(c.Lapsed, r.Lapsed...)
+		c.Running = append(c.Running, r.Running...)
+	}
+	return c
+}
+
 // handleQuarantine commits what an entry learned of content that may crash endpoints.
 func (d *Director) handleQuarantine(ctx context.Context, command messenger.QuarantineCommand) messenger.QuarantineAnswer {
 	if _, leading := d.leaderAddress(); !leading {
@@ -32,11 +44,14 @@
 		answer, _ := forwardToLeader[messenger.QuarantineAnswer](ctx, d, "/fleet/quarantine", command.Hops, commandTimeout, command)
 		return answer
 	}
-	batch, mustRun := d.joinQuarantineBatch(command)
-	if mustRun {
-		timekeeper.Sleep(ctx, gatherPeriod)
-		d.commitQuarantineBatch(context.WithoutCancel(ctx), batch)
+	batch, place := d.joinQuarantineBatch(command)
+	if place == 0 {
+		d.spawn("quarantine-batch", func() {
+			timekeeper.Sleep(ctx, gatherPeriod)
+			d.commitQuarantineBatch(context.WithoutCancel(ctx), batch)
+		})
 	}
+	d.dismissCrashes(ctx, batch, place)
 	select {
 	case <-batch.done:
 		return messenger.QuarantineAnswer{Accepted: batch.err == nil}
@@ -45,20 +60,17 @@
 	}
 }
 
-// joinQuarantineBatch adds a command to the batch that others can still join, and
-// reports whether the caller must commit it.
-func (d *Director) joinQuarantineBatch(command messenger.QuarantineCommand) (batch *quarantineBatch, mustRun bool) {
+// joinQuarantineBatch adds a report to the batch that others can still join, and returns
+// its place there. Whoever has the first must commit the batch.
+func (d *Director) joinQuarantineBatch(report messenger.QuarantineCommand) (batch *quarantineBatch, place int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.quarantine == nil {
 		d.quarantine = &quarantineBatch{done: make(chan struct{})}
-		mustRun = true
 	}
 	batch = d.quarantine
-	batch.command.Crashes = append(batch.command.Crashes, command.Crashes...)
-	batch.command.Survived = append(batch.command.Survived, command.Survived...)
-	batch.command.Lapsed = append(batch.command.Lapsed, command.Lapsed...)
-	return batch, mustRun
+	batch.reports = append(batch.reports, report)
+	return batch, len(batch.reports) - 1
 }
 
 // commitQuarantineBatch closes a batch to further commands and commits it, unless it
@@ -67,16 +79,16 @@
 	defer close(batch.done)
 	d.mu.Lock()
 	d.quarantine = nil
+	command := batch.command()
 	d.mu.Unlock()
-	command := batch.command
 	if len(command.Crashes) == 0 {
 		command.Survived = d.suspectedOf(command.Survived)
 	}
-	if len(command.Crashes)+len(command.Survived)+len(command.Lapsed) == 0 {
+	if len(command.Crashes)+len(command.Survived)+len(command.Lapsed)+len(command.Running) == 0 {
 		return
 	}
 	if _, batch.err = d.commit(ctx, messenger.FleetCommand{Quarantine: &command}); batch.err != nil {
-		d.log.Info("could not commit crashes under requests", "crashes", len(command.Crashes), "survived", len(command.Survived), "lapsed", len(command.Lapsed), "err", batch.err)
+		d.log.Info("could not commit crashes under requests", "crashes", len(command.Crashes), "survived", len(command.Survived), "lapsed", len(command.Lapsed), "running", len(command.Running), "err", batch.err)
 	}
 }
 
--- a/internal/gatekeeper/content.go
+++ b/internal/gatekeeper/content.go
@@ -1,8 +1,6 @@
 package gatekeeper
 
 import (
-	"fmt"
-
 	"papayaseam/internal/chooser"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/quarantiner"
@@ -79,7 +77,7 @@
 	trials := e.trials()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quarantine.recordCrash(fmt.Sprint(target.ID, "/", target.BootTime), trials)
+	g.quarantine.recordCrash(quarantiner.BootName(target.ID, target.BootTime), trials)
 	g.cancelHeld()
 }
 
--- a/internal/gatekeeper/crash_test.go
+++ b/internal/gatekeeper/crash_test.go
@@ -142,8 +142,14 @@
 
 // setQuarantine makes control tell the entry of crashes under a key.
 func (s *testSystem) setQuarantine(revision int, records ...messenger.QuarantineRecord) {
+	s.setQuarantineChanges(messenger.QuarantineChanges{Revision: revision, Whole: true, Records: records})
+}
+
+// setQuarantineChanges makes control send changes of its table to the entry.
+func (s *testSystem) setQuarantineChanges(changes messenger.QuarantineChanges) {
+	s.t.Helper()
 	s.mu.Lock()
-	s.response.Quarantine = &messenger.QuarantineChanges{Revision: revision, Whole: true, Records: records}
+	s.response.Quarantine = &changes
 	syncs := s.syncs
 	s.mu.Unlock()
 	waitUntil(s.t, func() bool { return s.syncCount() > syncs+1 })
@@ -327,3 +333,29 @@
 	assert.Assert(t, time.Since(start) < time.Second, "the client waited %s", time.Since(start))
 	assert.Assert(t, metricLine("papayaseam_held_requests_total") != before)
 }
+
+// TestHoldEndsAsControlFindsTheEndpointsRunning guards against an entry that holds a
+// sound request by its own count after control has withdrawn the crashes.
+func TestHoldEndsAsControlFindsTheEndpointsRunning(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	for range 5 {
+		s.addCrashingEndpoint("/deadly")
+	}
+	s.start()
+	for i := range 4 {
+		_, _, _ = s.call(http.MethodPost, "/verse/deadly", "prompt", "Attempt", fmt.Sprint("first", i))
+	}
+	assert.Equal(t, s.endedEndpoints(), 3, "the request is not held")
+	var running []messenger.RunningBoot
+	for i, e := range s.endpoints {
+		if e.crashed.Load() {
+			running = append(running, messenger.RunningBoot{Boot: fmt.Sprintf("i-%d/1", i), Modified: 2})
+		}
+	}
+	s.setQuarantineChanges(messenger.QuarantineChanges{Revision: 2, Whole: true, Running: running[:1]})
+	_, _, _ = s.call(http.MethodPost, "/verse/deadly", "prompt", "Attempt", "second")
+	assert.Equal(t, s.endedEndpoints(), 4, "the request is held for two crashes")
+	response, _, err := s.call(http.MethodPost, "/verse/deadly", "prompt", "Attempt", "third")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, "the request is sent after three crashes")
+}
--- a/internal/gatekeeper/quarantine.go
+++ b/internal/gatekeeper/quarantine.go
@@ -108,7 +108,8 @@
 }
 
 // apply brings the copy of the control log's table up to date. What control no longer
-// suspects is not suspected here either.
+// suspects is not suspected here either, and boots that control found running have not
+// crashed.
 func (q *quarantine) apply(changes messenger.QuarantineChanges) {
 	before := q.shared.Records()
 	q.logEffects("control", q.shared.Update(quarantiner.ApplyMsg{Changes: changes}))
@@ -118,7 +119,11 @@
 			cleared = append(cleared, r.Key)
 		}
 	}
-	q.own.Update(reportMsg(messenger.QuarantineCommand{Survived: cleared}))
+	var running []string
+	for _, r := range changes.Running {
+		running = append(running, r.Boot)
+	}
+	q.logEffects("entry", q.own.Update(reportMsg(messenger.QuarantineCommand{Survived: cleared, Running: running})))
 	q.refresh()
 }
 
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -455,6 +455,9 @@
 	// Revision corresponds to the JSON schema field "revision".
 	Revision int `json:"revision,omitempty,omitzero"`
 
+	// Running corresponds to the JSON schema field "running".
+	Running []RunningBoot `json:"running,omitempty,omitzero"`
+
 	// Whole corresponds to the JSON schema field "whole".
 	Whole bool `json:"whole,omitempty,omitzero"`
 }
@@ -470,6 +473,9 @@
 	// Content whose suspicion or hold is over.
 	Lapsed []string `json:"lapsed,omitempty,omitzero"`
 
+	// Boots that run on although a crash of them was reported.
+	Running []string `json:"running,omitempty,omitzero"`
+
 	// Content that ran without a crash.
 	Survived []string `json:"survived,omitempty,omitzero"`
 }
@@ -477,6 +483,10 @@
 // The crashes under one content. None means that the content is no longer
 // suspected.
 type QuarantineRecord struct {
+	// Those of the boots that do not count, since they were lost at about the same
+	// time as one that does.
+	Beside []string `json:"beside,omitempty,omitzero"`
+
 	// The boots that crashed.
 	Boots []string `json:"boots,omitempty,omitzero"`
 
@@ -526,6 +536,15 @@
 	Taken bool `json:"taken,omitempty,omitzero"`
 }
 
+// A boot that runs on although a crash of it was reported.
+type RunningBoot struct {
+	// Boot corresponds to the JSON schema field "boot".
+	Boot string `json:"boot,omitempty,omitzero"`
+
+	// The revision of the last change.
+	Modified int `json:"modified,omitempty,omitzero"`
+}
+
 // What a process saw of one endpoint on its own connections.
 type Sighting struct {
 	// AgeMs corresponds to the JSON schema field "age-ms".
--- a/internal/quarantiner/changes.go
+++ b/internal/quarantiner/changes.go
@@ -9,7 +9,7 @@
 
 // Snapshot returns the whole table.
 func (t *Table) Snapshot() messenger.QuarantineChanges {
-	return messenger.QuarantineChanges{Revision: t.revision, Whole: true, Records: t.Records()}
+	return messenger.QuarantineChanges{Revision: t.revision, Whole: true, Records: t.Records(), Running: t.runningSince(0)}
 }
 
 // ChangesSince returns what changed after a revision, or the whole table if that is
@@ -22,7 +22,7 @@
 		changes := t.Snapshot()
 		return &changes
 	}
-	changes := &messenger.QuarantineChanges{Revision: t.revision}
+	changes := &messenger.QuarantineChanges{Revision: t.revision, Running: t.runningSince(revision)}
 	for _, key := range slices.Sorted(maps.Keys(t.records)) {
 		if r := t.records[key]; r.Modified > revision {
 			changes.Records = append(changes.Records, r)
@@ -42,6 +42,9 @@
 	for _, r := range changes.Records {
 		t.set(r)
 	}
+	for _, running := range changes.Running {
+		t.addRunning(running)
+	}
 	t.revision = changes.Revision
 }
 
--- a/internal/quarantiner/messages.go
+++ b/internal/quarantiner/messages.go
@@ -5,9 +5,10 @@
 // Msg is an input of a table.
 type Msg interface{ quarantinerMsg() }
 
-// ReportMsg reports crashed boots with the content that may have crashed them, content
-// that ran on after it had begun, and content whose suspicion or hold is over. What
-// several entries saw of one crash is best reported in one message.
+// ReportMsg reports crashed boots with the content that may have crashed them, boots
+// that run on after earlier reports, content that ran on after it had begun, and content
+// whose suspicion or hold is over. What several entries saw of one crash is best reported
+// in one message.
 type ReportMsg struct{ Command messenger.QuarantineCommand }
 
 // ApplyMsg carries the changes of another table, of which this one is a copy.
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -17,6 +17,11 @@
 // sent when a crash under it was already known. Content that runs on after a known crash
 // under it is no longer suspected. And a crash has one cause: a part is not held for
 // crashes that all came with one request, or with one part further into the prompt.
+//
+// A report of a crash says that the connections to a boot broke and that its address
+// refuses new ones, which a cut can do as well. It counts at once, because each further
+// crash costs an endpoint, and is withdrawn under all content once the boot is known to
+// run on.
 package quarantiner
 
 import (
@@ -37,7 +42,8 @@
 	options  options
 	records  map[string]messenger.QuarantineRecord // records without a crash are tombstones for ChangesSince.
 	held     map[string]messenger.QuarantineRecord
-	live     int // live is the number of records with a crash.
+	running  []messenger.RunningBoot // running holds the boots whose crashes were withdrawn last, oldest first.
+	live     int                     // live is the number of records with a crash.
 	revision int
 	pruned   int // pruned is the revision at which a record was last dropped without a tombstone.
 }
@@ -96,9 +102,13 @@
 	return t.updateHeld()
 }
 
-// applyReport counts crashes, then clears what ran on, since that began after them.
+// applyReport withdraws and counts crashes, then clears what ran on, since that began
+// after them.
 func (t *Table) applyReport(command messenger.QuarantineCommand) {
 	next := t.revision + 1
+	for _, boot := range command.Running {
+		t.withdraw(boot, next)
+	}
 	for _, report := range command.Crashes {
 		t.addCrash(report, next)
 	}
@@ -148,11 +158,15 @@
 	}
 	if r.Crashes == 0 || trial.Known > 0 {
 		r.Crashes++
+	} else {
+		r.Beside = append(slices.Clone(r.Beside), boot)
 	}
 	r.Part = min(r.Part, trial.Part)
 	r.Modified = revision
 	r.Boots = append(slices.Clone(r.Boots), boot)
-	r.Boots = r.Boots[max(0, len(r.Boots)-maxBoots):]
+	excess := max(0, len(r.Boots)-maxBoots)
+	r.Beside = without(r.Beside, r.Boots[:excess])
+	r.Boots = r.Boots[excess:]
 	t.set(r)
 }
 
@@ -170,7 +184,7 @@
 			t.set(withoutBoots(other, r.Boots, revision))
 		}
 	}
-	r.Crashes, r.Boots, r.Modified = t.options.holdAfter-1, nil, revision
+	r.Crashes, r.Boots, r.Beside, r.Modified = t.options.holdAfter-1, nil, nil, revision
 	r.Holds++
 	t.set(r)
 }
@@ -182,7 +196,7 @@
 	if r.Holds > 0 || len(kept) == len(r.Boots) {
 		return r
 	}
-	r.Crashes, r.Boots, r.Modified = min(r.Crashes, len(kept)), kept, revision
+	r.Crashes, r.Boots, r.Beside, r.Modified = min(r.Crashes, len(kept)), kept, without(r.Beside, boots), revision
 	return r
 }
 
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -129,7 +129,7 @@
 		copied := quarantiner.New()
 		key := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f", "g"})
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0, 1, 2:
 				table.Update(crash(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "boot")), rapid.IntRange(0, 1).Draw(t, "known"), key.Draw(t, "key")))
 			case 3:
@@ -137,6 +137,8 @@
 			case 4:
 				table.Update(report(messenger.QuarantineCommand{Lapsed: []string{key.Draw(t, "key")}}))
 			case 5:
+				table.Update(runs(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "boot"))))
+			case 6:
 				if changes := table.ChangesSince(copied.Revision()); changes != nil {
 					copied.Update(quarantiner.ApplyMsg{Changes: *changes})
 				}
