A group that forms lets go of a member that is found in another group

The condition on a join held for one plan only: after a rejection the same join was sent again with the new count, although the report that came with it placed the member in another group whose head serves.

A forming group is abandoned now if a member's report places it in a group that has not been released. It never served, so nothing is lost but the time.

TestMemberPutBackIsNotTakenByTheNextJoin failed before: "joins small/1000012 while the head of large/1000001 serves".

--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -101,6 +101,9 @@
 		case !p.inGroup(g, m) && g.adopted:
 			p.abandon(g, "member "+m.Instance+" is not in the group")
 			return
+		case p.inOtherGroup(g, m):
+			p.abandon(g, "member "+m.Instance+" is in another group")
+			return
 		case !p.inGroup(g, m):
 			p.sendOrder(g, m, Order{Op: OpJoin, Model: g.Model, Members: instanceNames(g.Members)})
 		case e.Report.State == MemberReady || e.Report.State == MemberOpen:
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -259,6 +259,13 @@
 	return e.View.Born == m.BootTime && e.Report.Group == g.Name && e.Report.Epoch == g.Epoch
 }
 
+// inOtherGroup reports whether the member's last report places it in another group that
+// has not been released, so that the group's head may serve.
+func (p *Placer) inOtherGroup(g *Group, m Member) bool {
+	other := p.groups[p.byID[m.Instance].Report.Group]
+	return other != nil && other != g && p.inGroup(other, m)
+}
+
 // headState returns the head's member state, or "" if the head is not in the group.
 func (p *Placer) headState(g *Group) string {
 	if !p.inGroup(g, g.Head()) {
