An announcement alone shows no membership until the endpoint has answered

A new leader does not know how far an endpoint's announcements have come. One from before the head joined, late by way of a relay, made the head healthy and "not in the group": the group was released while it served.

An endpoint counts as reported only once it has answered a call of this leader.

TestLateAnnouncementAtANewLeaderFreesNoMember failed before.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -25,7 +25,7 @@
 	View         messenger.EndpointView
 	Report       messenger.EndpointReport
 	LastHeard    time.Duration // LastHeard is the time of the last message from the endpoint.
-	ReportedAt   time.Duration // ReportedAt is when Report was last updated.
+	ReportedAt   time.Duration // ReportedAt is when Report was last updated; 0 until the endpoint has answered a call.
 	FailingSince time.Duration // FailingSince is when the first of the failed calls began; 0 if the last call succeeded.
 	FailedCalls  int           // FailedCalls is the number of consecutive failed calls.
 	RefusedSince time.Duration // RefusedSince is when the first call was made that the endpoint's address refused; 0 if it has been heard from since.
@@ -266,10 +266,14 @@
 	if !later && e.ReportedAt != 0 && now-e.ReportedAt <= reportPrecedence {
 		return false
 	}
+	answered := e.ReportedAt != 0
 	changed := t.setReport(e, withLoad(report, e.Report), now)
 	if changed {
 		e.announcedAt = now
 	}
+	if !answered {
+		e.ReportedAt = 0
+	}
 	return changed
 }
 
