A report that a later one overtook is ignored

The probe of an endpoint and the call after an order may both be under way; the earlier answer, coming second, put the endpoint back to its former state. For a head that has just joined that reads as having left.

A boot's count of accepted orders only grows, so a report with a lower one is the earlier.

TestOvertakenReportIsIgnored failed before.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -34,6 +34,7 @@
 	announced      membership    // announced is the membership in the latest announcement.
 	maxEpoch       int           // maxEpoch is the highest epoch that the endpoint reported.
 	announcedAt    time.Duration // announcedAt is when an announcement last changed the membership.
+	reportedOrders int           // reportedOrders is the highest count of accepted orders that the endpoint reported.
 	orderStartedAt time.Duration // orderStartedAt is when the endpoint last started an order.
 	leaveSent      membership    // leaveSent is the membership that the endpoint was ordered to leave, until it has left.
 }
@@ -382,7 +383,8 @@
 }
 
 // report stores the state returned by a call. A started order or a membership
-// announced within maxReportDelay may be newer than the report and is kept.
+// announced within maxReportDelay may be newer than the report and is kept. A boot's
+// count of orders only grows: a report with a lower one was overtaken.
 func (t *Tracker) report(msg ReportMsg) bool {
 	e, ok := t.endpoints[msg.ID]
 	if !ok || e.View.Born != msg.BootTime {
@@ -390,6 +392,10 @@
 	}
 	e.heardFrom(msg.Now)
 	report := msg.Report
+	if report.Orders < e.reportedOrders {
+		return false
+	}
+	e.reportedOrders = report.Orders
 	if e.orderStartedAt != 0 && msg.Now-e.orderStartedAt < maxReportDelay {
 		report.Orders = max(report.Orders, e.Report.Orders)
 	}
