No boot is later than one whose start is not known

A first announcement without a start, by another writer, made any answer of the endpoint a proof that the boot had ended.

TestAnnouncementWithoutBootProvesNoLaterBoot failed before.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -432,10 +432,10 @@
 }
 
 // laterBoot marks a boot as ended. The later boot replaces it once it announces
-// itself.
+// itself. No boot is known to be later than one whose start is unknown.
 func (t *Tracker) laterBoot(msg LaterBootMsg) bool {
 	e, ok := t.endpoints[msg.ID]
-	if !ok || e.View.Born != msg.BootTime || e.BootEnded {
+	if !ok || e.View.Born != msg.BootTime || e.BootEnded || msg.BootTime == 0 {
 		return false
 	}
 	e.BootEnded = true
