A rejected order is sent again early only on a newer count

An order that its endpoint rejects as not fitting was decided again in every plan, 20 times a second, also where the count of accepted orders was not the reason.

It is sent again before the retry interval only once the count has changed.

--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -33,18 +33,21 @@
 // within the retry interval.
 func (p *Placer) sendOrder(g *Group, m Member, order Order) {
 	key := orderKey(order.Op, m.Instance)
-	if sentAt, ok := g.lastSent[key]; ok && p.msg.Now-sentAt < p.options.retryInterval {
+	acceptedOrders := p.byID[m.Instance].Report.Orders
+	last, ok := g.lastSent[key]
+	outdated := last.rejected && last.acceptedOrders != acceptedOrders
+	if ok && !outdated && p.msg.Now-last.at < p.options.retryInterval {
 		return
 	}
 	if g.lastSent == nil {
-		g.lastSent = map[string]time.Duration{}
+		g.lastSent = map[string]sentOrder{}
 	}
-	g.lastSent[key] = p.msg.Now
+	g.lastSent[key] = sentOrder{at: p.msg.Now, acceptedOrders: acceptedOrders}
 	order.Instance = m.Instance
 	order.BootTime = m.BootTime
 	order.Group = g.Name
 	order.Epoch = g.Epoch
-	order.AcceptedOrders = p.byID[m.Instance].Report.Orders
+	order.AcceptedOrders = acceptedOrders
 	p.orders = append(p.orders, order)
 }
 
@@ -62,11 +65,17 @@
 }
 
 // RecordOutdated records that a member rejected an order that was decided on an outdated
-// report, so that it is decided again in the next plan instead of after the retry
-// interval.
+// report, so that it is decided again on the next report with another count of accepted
+// orders, instead of after the retry interval.
 func (p *Placer) RecordOutdated(order Order) {
-	if g := p.groups[order.Group]; g != nil {
-		delete(g.lastSent, orderKey(order.Op, order.Instance))
+	g := p.groups[order.Group]
+	if g == nil {
+		return
+	}
+	key := orderKey(order.Op, order.Instance)
+	if last, ok := g.lastSent[key]; ok && last.acceptedOrders == order.AcceptedOrders {
+		last.rejected = true
+		g.lastSent[key] = last
 	}
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -108,12 +108,19 @@
 	Reason        string        // Reason says why the group closes; it is written to the log.
 	Doubted       bool          // Doubted is set while it is not known whether the group serves on with a member that refuses connections.
 
-	adopted      bool                     // adopted is set if an earlier leader formed the group.
-	refusals     int                      // refusals counts the orders that members refused as superseded.
-	formDeadline time.Duration            // formDeadline is when a group that has not opened is abandoned; 0 means no deadline.
-	preempted    bool                     // preempted is set if the group closes to free its members for another model.
-	detachedAt   time.Duration            // detachedAt is when a member was first seen to have left an unreachable head; 0 if none has.
-	lastSent     map[string]time.Duration // lastSent is when each order was last sent, by operation and instance.
+	adopted      bool                 // adopted is set if an earlier leader formed the group.
+	refusals     int                  // refusals counts the orders that members refused as superseded.
+	formDeadline time.Duration        // formDeadline is when a group that has not opened is abandoned; 0 means no deadline.
+	preempted    bool                 // preempted is set if the group closes to free its members for another model.
+	detachedAt   time.Duration        // detachedAt is when a member was first seen to have left an unreachable head; 0 if none has.
+	lastSent     map[string]sentOrder // lastSent holds the last order of each operation to each instance.
+}
+
+// sentOrder is an order that was sent to an endpoint.
+type sentOrder struct {
+	at             time.Duration
+	acceptedOrders int  // acceptedOrders is the count that the order was bound to.
+	rejected       bool // rejected is set if the endpoint rejected it as outdated.
 }
 
 // Head returns the member of rank 0.
