An endpoint that is asked for is probed as often as a stalled one, not more

Reports of broken streams made probes due without a bound: an endpoint that breaks off answers all the time would be probed at each tick of the leader.

TestAskedEndpointKeepsTheRateOfStalledOnes failed before (200 calls in a second, 20 allowed).

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -94,7 +94,8 @@
 // Msg is an input of the prober.
 type Msg interface{ proberMsg() }
 
-// AskMsg makes a probe of the instance ID due at the next tick.
+// AskMsg makes a probe of the instance ID due at the next tick, as often as one of a
+// stalled endpoint.
 type AskMsg struct{ ID string }
 
 func (TickMsg) proberMsg()      {}
@@ -106,11 +107,13 @@
 type Prober struct {
 	lastProbed map[string]time.Duration
 	inFlight   map[string]bool
+	asked      map[string]bool          // asked holds the endpoints to probe at the next tick.
+	lastAsked  map[string]time.Duration // lastAsked is when each endpoint was last probed as it was asked for.
 }
 
 // New returns a Prober that has probed no endpoint yet.
 func New() *Prober {
-	return &Prober{lastProbed: map[string]time.Duration{}, inFlight: map[string]bool{}}
+	return &Prober{lastProbed: map[string]time.Duration{}, inFlight: map[string]bool{}, asked: map[string]bool{}, lastAsked: map[string]time.Duration{}}
 }
 
 // Update takes one message and returns the probes that are due.
@@ -121,7 +124,7 @@
 	case ProbeDoneMsg:
 		delete(p.inFlight, msg.ID)
 	case AskMsg:
-		delete(p.lastProbed, msg.ID)
+		p.asked[msg.ID] = true
 	}
 	return nil
 }
@@ -138,9 +141,14 @@
 			continue
 		}
 		last, probed := p.lastProbed[id]
-		if e.BootEnded || p.inFlight[id] || (probed && msg.Now < last+f.interval(role)) {
+		asked := p.asked[id] && p.mayAsk(id, msg.Now)
+		if e.BootEnded || p.inFlight[id] || (probed && !asked && msg.Now < last+f.interval(role)) {
 			continue
 		}
+		if asked {
+			p.lastAsked[id] = msg.Now
+		}
+		delete(p.asked, id)
 		p.lastProbed[id] = msg.Now
 		p.inFlight[id] = true
 		probe := Probe{Endpoint: e, Timeout: timeout}
@@ -152,6 +160,13 @@
 	return due
 }
 
+// mayAsk reports whether an endpoint has not been asked for more often than a stalled one
+// is probed.
+func (p *Prober) mayAsk(id string, now time.Duration) bool {
+	last, ok := p.lastAsked[id]
+	return !ok || now >= last+intervalStalled
+}
+
 // factors multiply the base intervals to keep the call rate within its bound. Those
 // of idle endpoints grow first, since idle endpoints announce their changes.
 type factors struct{ idle, others float64 }
@@ -201,5 +216,7 @@
 	for _, e := range endpoints {
 		known[e.View.Instance] = true
 	}
-	maps.DeleteFunc(p.lastProbed, func(id string, _ time.Duration) bool { return !known[id] })
+	gone := func(id string, _ time.Duration) bool { return !known[id] }
+	maps.DeleteFunc(p.lastProbed, gone)
+	maps.DeleteFunc(p.lastAsked, gone)
 }
