A group whose members are all forgotten is dropped

Where all members of a group crash and never return under their identities, nothing proved that they have ended, and the group stayed in the plan and in the view for good. Such a group is dropped, without being marked as ended: it is adopted again if a member returns.

TestGroupOfForgottenMembersEnds failed before.

--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -266,8 +266,13 @@
 
 // detachMembers orders the reachable members to leave an unreachable head. A group
 // that a member has left stalls and stops by its own stall limit, after which it is
-// released.
+// released. One whose members are all forgotten is dropped, and adopted again if one of
+// them returns.
 func (p *Placer) detachMembers(g *Group) {
+	if !slices.ContainsFunc(g.Members, p.isKnown) {
+		delete(p.groups, g.Name)
+		return
+	}
 	memberLeft := false
 	for _, m := range g.Members[1:] {
 		switch h := p.health(m); {
@@ -286,6 +291,12 @@
 	}
 }
 
+// isKnown reports whether any boot of a member's endpoint is known.
+func (p *Placer) isKnown(m Member) bool {
+	_, ok := p.byID[m.Instance]
+	return ok
+}
+
 // HasDetached reports whether a member has left a closing group whose head is
 // unreachable, so that it can join another one.
 func (p *Placer) HasDetached(g Group, m Member) bool { return p.hasDetached(&g, m) }
