Entry: tell requests sent to an endpoint that takes none

The logs named the endpoints that ask for rest, but not the requests that reach them meanwhile, so that an entry that forgets and a request that was under way looked alike.

Change: for each attempt, when it was chosen and when its connection was there are compared with when the endpoint first said that it takes none. Those sent later are counted by papayaseam_requests_sent_while_away_total{chosen} and logged with both times.

Ruled out: the time at which the answer comes says nothing, since an endpoint may take long over a request that reached it in time.

Before and after: TestRequestSentWhileAwayIsToldFromOneUnderWay and TestTimeAwayBeginsWithTheFirstWord do not build without the change.

--- a/internal/chooser/notice.go
+++ b/internal/chooser/notice.go
@@ -31,6 +31,7 @@
 type notice struct {
 	bootTime  int
 	heardAt   time.Duration
+	awaySince time.Duration // awaySince is when the time began in which the endpoint takes no requests.
 	leaving   bool
 	awayUntil time.Duration
 }
@@ -45,6 +46,9 @@
 		n = notice{bootTime: msg.BootTime}
 	}
 	n.heardAt = msg.Now
+	if !n.away(msg.Now) {
+		n.awaySince = msg.Now
+	}
 	n.leaving = n.leaving || msg.Leaving
 	if msg.StayAway > 0 {
 		away := min(msg.StayAway, maxStayAway)
@@ -67,10 +71,22 @@
 	delete(c.notices, oldest)
 }
 
+func (n notice) away(now time.Duration) bool { return n.leaving || n.awayUntil > now }
+
 // StaysAway reports whether an endpoint said that it takes no requests now.
 func (c *Chooser) StaysAway(target Target, now time.Duration) bool {
+	_, ok := c.AwaySince(target, now)
+	return ok
+}
+
+// AwaySince returns when an endpoint first said that it takes no requests, or false if it
+// takes them now.
+func (c *Chooser) AwaySince(target Target, now time.Duration) (time.Duration, bool) {
 	n, ok := c.notices[target.ID]
-	return ok && n.bootTime == target.BootTime && (n.leaving || n.awayUntil > now)
+	if !ok || n.bootTime != target.BootTime || !n.away(now) {
+		return 0, false
+	}
+	return n.awaySince, true
 }
 
 // ReturnIn returns how long it takes until an endpoint that serves the model wants
--- a/internal/chooser/notice_test.go
+++ b/internal/chooser/notice_test.go
@@ -66,6 +66,25 @@
 	}
 }
 
+// TestTimeAwayBeginsWithTheFirstWord guards against a log that counts from the latest of
+// several answers, or from a time that is over.
+func TestTimeAwayBeginsWithTheFirstWord(t *testing.T) {
+	c := New("d0")
+	target := Target{ID: "e0", BootTime: 1}
+	say := func(at time.Duration) {
+		c.Update(NoticeMsg{Now: at, ID: "e0", BootTime: 1, StayAway: 3 * time.Second})
+	}
+	_, ok := c.AwaySince(target, time.Minute)
+	assert.Assert(t, !ok)
+	for _, first := range []time.Duration{time.Minute, time.Hour} {
+		say(first)
+		say(first + time.Second)
+		since, ok := c.AwaySince(target, first+2*time.Second)
+		assert.Assert(t, ok)
+		assert.Equal(t, since, first)
+	}
+}
+
 // TestEntriesReturnAtDifferentTimes guards against all entries that come back to an
 // endpoint in the same moment.
 func TestEntriesReturnAtDifferentTimes(t *testing.T) {
--- a/internal/gatekeeper/notice.go
+++ b/internal/gatekeeper/notice.go
@@ -15,6 +15,24 @@
 // later, at random, so that they do not return together.
 const clientReturnSpread = 0.25
 
+// recordSentWhileAway records a request that was sent although its endpoint had said that
+// it takes none: chosen before the entry knew, or after.
+func (g *Gatekeeper) recordSentWhileAway(e *exchange, target chooser.Target, sentAt time.Duration) {
+	g.mu.Lock()
+	since, ok := g.chooser.AwaySince(target, sentAt)
+	g.mu.Unlock()
+	if !ok || sentAt <= since {
+		return
+	}
+	chosen := "before"
+	if e.chosenAt > since {
+		chosen = "after"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`papayaseam_requests_sent_while_away_total{chosen=%q}`, chosen)).Inc()
+	g.log.Warn("request sent to an endpoint that takes none", "attempt", e.metadata.AttemptID, "endpoint", target.ID, "boot", target.BootTime,
+		"chosen", chosen, "chosen-ms", (e.chosenAt - since).Milliseconds(), "sent-ms", (sentAt - since).Milliseconds())
+}
+
 // recordNotice acts at once on what an endpoint said of itself in its answer, whether
 // or not control knows it.
 func (g *Gatekeeper) recordNotice(target chooser.Target, metadata ResponseMetadata) {
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -62,7 +62,8 @@
 	lastEventAt       time.Duration // lastEventAt is when the last event was forwarded.
 	longestGap        time.Duration // longestGap is the longest time between two events.
 	target            chooser.Target
-	clientRetry       bool // clientRetry means that the client was rejected before and has less time left.
+	chosenAt          time.Duration // chosenAt is when target was chosen.
+	clientRetry       bool          // clientRetry means that the client was rejected before and has less time left.
 	outcome           string
 	reason            string
 	failureReason     string            // failureReason says why no attempt could be made or why the last one failed.
@@ -286,7 +287,7 @@
 	if e.attempts == 0 {
 		e.firstEndpointLoad = g.chooser.Load(target.ID)
 	}
-	e.target = target
+	e.target, e.chosenAt = target, request.Now
 	g.noteKnownCrashes(e)
 	g.chooser.Update(chooser.AttemptStartedMsg{ID: target.ID})
 	return target, true
--- a/internal/transporter/connection.go
+++ b/internal/transporter/connection.go
@@ -4,6 +4,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"time"
+
+	"papayaseam/internal/timekeeper"
 )
 
 // Connection is the connection of one exchange. It is valid once the exchange has
@@ -11,6 +14,7 @@
 type Connection struct {
 	conn   net.Conn
 	reused bool
+	sentAt time.Duration
 }
 
 // Reused reports whether the connection carried an earlier exchange, so that what is
@@ -22,6 +26,10 @@
 // none was.
 func (c *Connection) Opened() bool { return c.conn != nil }
 
+// SentAt returns when the request began to be written, by the clock of timekeeper; 0 if
+// there was no connection to write it to.
+func (c *Connection) SentAt() time.Duration { return c.sentAt }
+
 // Abandon closes the connection, so that no later exchange reads from it.
 func (c *Connection) Abandon() {
 	if c.conn != nil {
@@ -33,7 +41,7 @@
 func (c *Client) DoOn(request *http.Request) (*http.Response, *Connection, error) {
 	connection := &Connection{}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		connection.conn, connection.reused = info.Conn, info.Reused
+		connection.conn, connection.reused, connection.sentAt = info.Conn, info.Reused, timekeeper.Now()
 	}}
 	response, err := c.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	return response, connection, err
