Entry: the end of an endpoint that said it leaves is no crash

An endpoint says in its answers that it leaves, control doesn't know yet or can't tell the entry, and the process ends under a request: the entry counts a crash under that request's content.

Cause: isLeaving asked the fleet's view only; the notice of the same boot was kept in the chooser and used for picks.

Change: isLeaving asks both.

Conclusion: one fact, one proof: the boot's own word that it leaves holds wherever an entry asks whether it leaves.

--- a/internal/chooser/notice.go
+++ b/internal/chooser/notice.go
@@ -79,6 +79,12 @@
 	return ok
 }
 
+// Leaves reports whether an endpoint said that it takes no further requests.
+func (c *Chooser) Leaves(target Target) bool {
+	n, ok := c.notices[target.ID]
+	return ok && n.bootTime == target.BootTime && n.leaving
+}
+
 // AwaySince returns when an endpoint first said that it takes no requests, or false if it
 // takes them now.
 func (c *Chooser) AwaySince(target Target, now time.Duration) (time.Duration, bool) {
--- a/internal/gatekeeper/crash.go
+++ b/internal/gatekeeper/crash.go
@@ -66,11 +66,14 @@
 	return e.attemptEventAt == 0 || timekeeper.Now()-e.attemptEventAt < beginPeriod
 }
 
-// isLeaving reports whether an endpoint announced that it stops, so that its end is
-// no crash.
+// isLeaving reports whether an endpoint announced that it stops, to control or in its
+// answers, so that its end is no crash.
 func (g *Gatekeeper) isLeaving(target chooser.Target) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.chooser.Leaves(target) {
+		return true
+	}
 	for _, view := range g.fleet.Endpoints {
 		if view.Instance == target.ID && view.Born == target.BootTime {
 			return view.Leaving
--- a/internal/gatekeeper/crash_test.go
+++ b/internal/gatekeeper/crash_test.go
@@ -110,6 +110,25 @@
 	changes.View++
 }
 
+// TestEndOfAnEndpointThatSaidItLeavesIsNoCrash guards against requests that are held since
+// endpoints have ended under them that had said in their answers that they leave, while
+// control did not know.
+func TestEndOfAnEndpointThatSaidItLeavesIsNoCrash(t *testing.T) {
+	const name = "papayaseam_endpoint_crashes_total"
+	s := newSystem(t, time.Minute)
+	var e *fakeEndpoint
+	e = s.addEndpoint("writers", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Leaving", "1")
+		_ = http.NewResponseController(w).Flush()
+		s.crash(e, w, r)
+	})
+	s.start()
+	before := metricLine(name)
+	_, _, _ = s.call(http.MethodPost, "/verse/1", "prompt")
+	assert.Assert(t, e.crashed.Load())
+	assert.Equal(t, metricLine(name), before)
+}
+
 // endedEndpoints returns how many endpoints have crashed.
 func (s *testSystem) endedEndpoints() int {
 	ended := 0
