Entry: an endpoint is left alone for as long as it asks

Cause: the time was bounded, lest a wrong value keep an endpoint out. The same bound broke a right one.

Tests: TestEndpointIsLeftAloneForTheTimeItAsked had the bound built in and accepted requests after 5 minutes of 1000 hours; it now demands the whole time, and that the endpoint is used after it.

--- a/internal/chooser/notice.go
+++ b/internal/chooser/notice.go
@@ -3,9 +3,6 @@
 import "time"
 
 const (
-	// maxStayAway bounds how long an endpoint is left alone by its own word, which may
-	// be wrong.
-	maxStayAway = 5 * time.Minute
 	// returnSpread is the part of the time to stay away by which entries return later
 	// than asked, at random, so that they do not return together.
 	returnSpread = 0.1
@@ -51,9 +48,8 @@
 	}
 	n.leaving = n.leaving || msg.Leaving
 	if msg.StayAway > 0 {
-		away := min(msg.StayAway, maxStayAway)
-		spread := min(time.Duration(returnSpread*float64(away)), maxReturnSpread)
-		n.awayUntil = max(n.awayUntil, msg.Now+away+time.Duration(c.options.random.Float64()*float64(spread)))
+		spread := min(time.Duration(returnSpread*float64(msg.StayAway)), maxReturnSpread)
+		n.awayUntil = max(n.awayUntil, msg.Now+msg.StayAway+time.Duration(c.options.random.Float64()*float64(spread)))
 	}
 	c.notices[msg.ID] = n
 	if len(c.notices) > maxNotices {
--- a/internal/chooser/notice_test.go
+++ b/internal/chooser/notice_test.go
@@ -50,19 +50,18 @@
 }
 
 // TestEndpointIsLeftAloneForTheTimeItAsked guards against requests before the time is
-// over, also where the entry stood still meanwhile, and against an endpoint that is left
-// alone for good.
+// over, however long it is and also where the entry stood still meanwhile, and against an
+// endpoint that is left alone longer.
 func TestEndpointIsLeftAloneForTheTimeItAsked(t *testing.T) {
 	for _, asked := range []time.Duration{200 * time.Millisecond, 3 * time.Second, 1000 * time.Hour} {
 		c := New("d0")
 		c.Update(newFleet(2, idle))
 		c.Update(NoticeMsg{Now: time.Minute, ID: "e1", BootTime: 1, StayAway: asked})
-		bound := min(asked, maxStayAway)
 		assert.Assert(t, !picks(c, time.Minute)["e1"])
-		assert.Assert(t, !picks(c, time.Minute+bound-1)["e1"])
-		assert.Assert(t, picks(c, time.Minute+bound+maxReturnSpread)["e1"], "the clock went on while the entry stood still")
+		assert.Assert(t, !picks(c, time.Minute+asked-1)["e1"])
+		assert.Assert(t, picks(c, time.Minute+asked+maxReturnSpread)["e1"], "the clock went on while the entry stood still")
 		c.Update(NoticeMsg{Now: time.Minute, ID: "e1", BootTime: 1, StayAway: time.Millisecond})
-		assert.Assert(t, !picks(c, time.Minute+bound-1)["e1"], "a later, shorter time does not end the first")
+		assert.Assert(t, !picks(c, time.Minute+asked-1)["e1"], "a later, shorter time does not end the first")
 	}
 }
 
