Entry: concurrent clients before endpoints that ask for rest

The test before it called one request after another, so that none was under way when an endpoint asked for rest.

Change: a test lets 16 clients send streams through one entry to two endpoints that turn all away and ask for a second of rest, with and without a third that serves, and counts what reaches an endpoint between half a second after an answer and the end of that second. Two are allowed.

Requests under way reach the endpoint within the half second, since a connection is given up after 400 ms.

--- a/internal/gatekeeper/notice_test.go
+++ b/internal/gatekeeper/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -73,6 +74,73 @@
 	}
 }
 
+// restedEndpoint turns every request away and asks for rest. It records when.
+type restedEndpoint struct {
+	mu       sync.Mutex
+	arrivals []time.Time
+}
+
+func (e *restedEndpoint) handle(asked time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		e.arrivals = append(e.arrivals, time.Now())
+		e.mu.Unlock()
+		w.Header().Set("Stay-Away", asked.String())
+		rejectNotExecuted(w, r)
+	}
+}
+
+// mostInOneRest returns the largest number of requests that arrived between half a second
+// after an answer and the end of the time for which it asked.
+func (e *restedEndpoint) mostInOneRest(asked time.Duration) int {
+	most := 0
+	for _, answered := range e.arrivals {
+		n := 0
+		for _, at := range e.arrivals {
+			if since := at.Sub(answered); since >= 500*time.Millisecond && since < asked {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestConcurrentRequestsLeaveRestedEndpointsAlone guards against repeats of many clients
+// that pile up at endpoints which asked for rest, whether or not another endpoint serves.
+func TestConcurrentRequestsLeaveRestedEndpointsAlone(t *testing.T) {
+	const asked, clients = time.Second, 16
+	for _, alone := range []bool{false, true} {
+		s := newSystem(t, time.Minute)
+		rested := []*restedEndpoint{{}, {}}
+		for _, e := range rested {
+			s.addEndpoint("writers", e.handle(asked))
+		}
+		if !alone {
+			s.addEndpoint("writers", func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 2) })
+		}
+		s.start()
+		ended := make(chan bool, clients)
+		end := time.Now().Add(2500 * time.Millisecond)
+		for range clients {
+			go func() {
+				for time.Now().Before(end) {
+					_, _, _ = s.call(http.MethodPost, "/verse/1", "x")
+					time.Sleep(5 * time.Millisecond)
+				}
+				ended <- true
+			}()
+		}
+		for range clients {
+			<-ended
+		}
+		for _, e := range rested {
+			assert.Assert(t, len(e.arrivals) >= 2, "the endpoint got %d requests", len(e.arrivals))
+			assert.Assert(t, e.mostInOneRest(asked) <= 2, "alone %t: %d requests in one rest", alone, e.mostInOneRest(asked))
+		}
+	}
+}
+
 // TestClientIsToldWhenEndpointsWantRequestsAgain guards against a client that returns
 // while all endpoints still want no requests, or that waits for its deadline.
 func TestClientIsToldWhenEndpointsWantRequestsAgain(t *testing.T) {
