Entry: say which bound the dial timeout serves

What callers saw: nothing. Hypothesis 2 says that a request is chosen before its endpoint asks for rest and reaches it over half a second later. The longest wait between choice and connection is the dial timeout of 400 ms; nothing said that it must stay below that half second.

Change: the constant says so, and a test fails if the timeout and a round trip between domains exceed the half second.

Before and after: no change of behaviour.

--- a/internal/gatekeeper/away_test.go
+++ b/internal/gatekeeper/away_test.go
@@ -41,3 +41,10 @@
 		assert.Equal(t, chosen, c.logged, c.name)
 	}
 }
+
+// TestDialEndsWhileRequestsMayBeUnderWay guards against a longer timeout, with which a
+// request that was chosen before its endpoint asked for rest could reach it within it.
+func TestDialEndsWhileRequestsMayBeUnderWay(t *testing.T) {
+	const underWay, roundTrip = 500 * time.Millisecond, 40 * time.Millisecond
+	assert.Assert(t, endpointDialTimeout+roundTrip < underWay)
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -34,6 +34,8 @@
 )
 
 const (
+	// endpointDialTimeout is below the half second for which requests under way may still
+	// reach an endpoint that has asked for rest.
 	endpointDialTimeout = 400 * time.Millisecond
 	// controlDialTimeout is far above a round trip to a control process and far
 	// below 1 s, after which TCP retransmits a lost SYN: another control process
