Chooser: one place compares the boot of a notice

What callers saw: nothing.

Change: both ask heard, which returns what this boot said.

Before and after: the tests of chooser and gatekeeper pass; with the comparison off, TestNextBootOfALeavingEndpointIsPicked fails as before.

Conclusion: no change of behaviour.

--- a/internal/chooser/notice.go
+++ b/internal/chooser/notice.go
@@ -69,26 +69,27 @@
 
 func (n notice) away(now time.Duration) bool { return n.leaving || n.awayUntil > now }
 
+// heard returns what this boot of an endpoint said; a zero notice if nothing.
+func (c *Chooser) heard(target Target) notice {
+	if n := c.notices[target.ID]; n.bootTime == target.BootTime {
+		return n
+	}
+	return notice{}
+}
+
 // StaysAway reports whether an endpoint said that it takes no requests now.
 func (c *Chooser) StaysAway(target Target, now time.Duration) bool {
-	_, ok := c.AwaySince(target, now)
-	return ok
+	return c.heard(target).away(now)
 }
 
 // Leaves reports whether an endpoint said that it takes no further requests.
-func (c *Chooser) Leaves(target Target) bool {
-	n, ok := c.notices[target.ID]
-	return ok && n.bootTime == target.BootTime && n.leaving
-}
+func (c *Chooser) Leaves(target Target) bool { return c.heard(target).leaving }
 
 // AwaySince returns when an endpoint first said that it takes no requests, or false if it
 // takes them now.
 func (c *Chooser) AwaySince(target Target, now time.Duration) (time.Duration, bool) {
-	n, ok := c.notices[target.ID]
-	if !ok || n.bootTime != target.BootTime || !n.away(now) {
-		return 0, false
-	}
-	return n.awaySince, true
+	n := c.heard(target)
+	return n.awaySince, n.away(now)
 }
 
 // ReturnIn returns how long it takes until an endpoint that serves the model wants
