Transporter: an answer whose status is none or not final is a broken one

Found while testing cut heads. Callers saw: an endpoint whose head says "000", "099" or "101" made the entry close the client's connection without an answer (net/http panics on a status below 100), or pass on a 101 that nobody asked for, after which the connection is no longer HTTP. A request that may be repeated was not sent elsewhere. The supervisor reported such an answer as complete to the entries.

Cause: net/http returns every status of three digits to its caller, and 101 as a final answer. Neither path checked it. Other 1xx are skipped by the library.

Change: Client.DoOn, which both paths use, closes the connection and returns ErrBroken for a status below 200. The entry then answers 502, or sends a repeatable request to another endpoint; the supervisor reports may-have-run.

Before: TestAnswerWithoutFinalStatusIsBroken failed in gatekeeper for all four status lines (a panic and "unexpected EOF" for 000 and 099, a 101 for 101), and in supervisor ("answered"). After: both pass.

--- a/internal/supervisor/cut_test.go
+++ b/internal/supervisor/cut_test.go
@@ -125,3 +125,15 @@
 		}
 	}
 }
+
+// TestAnswerWithoutFinalStatusIsBroken guards against reporting an answer as complete
+// whose status is none or not final, with which no entry can answer a client.
+func TestAnswerWithoutFinalStatusIsBroken(t *testing.T) {
+	c := &cutter{t: t}
+	s := newServing(t, c.serve)
+	for _, line := range []string{"HTTP/1.1 000 ", "HTTP/1.1 099 Odd", "HTTP/1.1 101 Switching Protocols", "HTTP/1.0 101 Switching Protocols"} {
+		c.set(line+"\r\nContent-Length: 0\r\n\r\n", false)
+		assert.Equal(t, verdict(s, line, false), "may-have-run", line)
+		assert.Equal(t, c.count(), 1, line)
+	}
+}
--- a/internal/transporter/connection.go
+++ b/internal/transporter/connection.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"papayaseam/internal/timekeeper"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Connection is the connection of one exchange. It is valid once the exchange has
@@ -37,12 +39,21 @@
 	}
 }
 
-// DoOn is Do, and returns the connection of the exchange too.
+// errNotFinal is returned for an answer whose status is none or not final.
+var errNotFinal = errors.New("the status of the answer is not final; its connection is closed")
+
+// DoOn is Do, and returns the connection of the exchange too. An answer whose status is
+// below 200 is ErrBroken: no request asks for another protocol.
 func (c *Client) DoOn(request *http.Request) (*http.Response, *Connection, error) {
 	connection := &Connection{}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connection.conn, connection.reused, connection.sentAt = info.Conn, info.Reused, timekeeper.Now()
 	}}
 	response, err := c.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err == nil && response.StatusCode < http.StatusOK {
+		connection.Abandon()
+		_ = response.Body.Close()
+		return nil, connection, errors.Mark(errors.Wrapf(errNotFinal, "status %03d", response.StatusCode), ErrBroken)
+	}
 	return response, connection, err
 }
