Gatekeeper: the end of a long line is not taken for the end of its event

Found while testing cut streams. Callers saw: on a stream that may be resumed, a piece of an event, followed by the whole event from the next endpoint, in an answer framed as whole; on one that may not be resumed, a piece of an event before the break.

Cause: lines are read into a buffer of 4 KiB. Where a line fills it exactly (4096 bytes, or 8192, or 4095 and a carriage return), its line end is read by itself, and looked like the empty line that ends an event. The piece was forwarded, the rest of the event followed by itself, and an endpoint that broke in between left the piece with the client.

Change: an event ends where its last line is empty, found from the event's bytes, not from what was read last.

Before: TestLongLineIsNoEnd failed with 8203 of 4106 bytes (a line of 4095 bytes that ends with CR LF). After: it passes for 4095, 4096, 4097 and 8192 bytes with both line ends.

--- a/internal/gatekeeper/endless_test.go
+++ b/internal/gatekeeper/endless_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,3 +102,36 @@
 	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
 	assert.Equal(t, e.requestCount(), 1)
 }
+
+// TestLongLineIsNoEnd guards against a piece of an event that is forwarded because its
+// first line ends where the read buffer does, so that the line's end looks like an empty
+// line.
+func TestLongLineIsNoEnd(t *testing.T) {
+	const bufferBytes = 4 << 10
+	event := func(length int, end string) string {
+		const field = "data: "
+		return field + strings.Repeat("x", length-len(field)) + end + "id: 1" + end + end
+	}
+	for _, length := range []int{bufferBytes - 1, bufferBytes, bufferBytes + 1, 2 * bufferBytes} {
+		for _, end := range []string{"\n", "\r\n"} {
+			whole := event(length, end)
+			var attempts atomic.Int32
+			s := newSystem(t, time.Minute)
+			for range 2 {
+				s.addEndpoint("writers", func(w http.ResponseWriter, r *http.Request) {
+					if attempts.Add(1) > 1 {
+						_, _ = io.WriteString(w, whole)
+						return
+					}
+					_, _ = io.WriteString(w, whole[:strings.Index(whole, "id")])
+					_ = http.NewResponseController(w).Flush()
+					abortConnection(w, r)
+				})
+			}
+			s.start()
+			_, body, err := s.call(http.MethodPost, "/verse/1", "prompt")
+			assert.NilError(t, err)
+			assert.Assert(t, body == whole, "got %d of %d bytes, with a line of %d and end %q", len(body), len(whole), length, end)
+		}
+	}
+}
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -268,7 +268,7 @@
 		if err != nil {
 			return streamEndError(event, err)
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		if !endsEvent(event) {
 			continue
 		}
 		eventTimer.Stop()
@@ -285,6 +285,12 @@
 	}
 }
 
+// endsEvent reports whether the last of some whole lines is empty.
+func endsEvent(lines []byte) bool {
+	rest := bytes.TrimRight(bytes.TrimSuffix(lines, []byte("\n")), "\r")
+	return len(rest) == 0 || rest[len(rest)-1] == '\n'
+}
+
 // hasBufferedEvent reports whether another complete event is buffered, so that
 // both can be flushed in one write.
 func hasBufferedEvent(reader *bufio.Reader) bool {
