Forwarder: a stream whose lines end with CR LF reaches the client

Found while checking the report of a 200 with an empty body. Callers saw: from an endpoint that ends the lines of its event stream with CR LF, as the format allows, a 200 with no body at all, framed as whole.

Cause: the relay looked for two LF in a row as the end of an event, found none, kept all bytes and dropped them when the answer was verified.

Change: an event ends at the first empty line, whether it ends with LF or CR LF. Events are written as before, with LF. An empty line before an event is not forwarded.

Before: TestStreamWithCarriageReturnsIsForwarded failed with an empty body. After: it passes, with line ends of one kind and mixed, and split between frames.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -127,12 +127,30 @@
 // forwardEvents writes the complete buffered events to the client.
 func (r *responseRelay) forwardEvents() {
 	for {
-		event, rest, complete := bytes.Cut(r.buffered, []byte("\n\n"))
+		event, rest, complete := cutEvent(r.buffered)
 		if !complete {
 			return
 		}
 		r.buffered = rest
-		r.forwardEvent(event)
+		if len(event) > 0 {
+			r.forwardEvent(event)
+		}
+	}
+}
+
+// cutEvent returns what is before and after the first empty line. Lines end with LF or
+// CR LF.
+func cutEvent(data []byte) (event, rest []byte, complete bool) {
+	for begin := 0; ; {
+		length := bytes.IndexByte(data[begin:], '\n')
+		if length < 0 {
+			return nil, data, false
+		}
+		end := begin + length
+		if len(bytes.TrimSuffix(data[begin:end], []byte("\r"))) == 0 {
+			return bytes.TrimRight(data[:begin], "\r\n"), data[end+1:], true
+		}
+		begin = end + 1
 	}
 }
 
--- a/internal/forwarder/answer_test.go
+++ b/internal/forwarder/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"papayaseam/internal/dispatcher"
@@ -105,3 +106,22 @@
 	assert.Assert(t, !relay.matches(messenger.Frame{Length: 3, Digest: "0000000000000000"}))
 	assert.Assert(t, !relay.matches(messenger.Frame{Length: 4, Digest: finalFrame.Digest}))
 }
+
+// TestStreamWithCarriageReturnsIsForwarded guards against a 200 with an empty body for a
+// stream whose lines end with CR LF.
+func TestStreamWithCarriageReturnsIsForwarded(t *testing.T) {
+	forwarded := func(pieces ...string) string {
+		w := httptest.NewRecorder()
+		relay := newResponseRelay(w, &clientRequest{id: "r1"})
+		deliverAttempt(relay, pieces...)
+		relay.finish(dispatcher.FinishEffect{Verdict: dispatcher.Answered})
+		return w.Body.String()
+	}
+	const comment, done = ": waits", "data: [DONE]"
+	word := strings.TrimSpace(contentChunk("here"))
+	want := forwarded(comment+"\n\n", word+"\n\n", done+"\n\n")
+	assert.Assert(t, strings.HasSuffix(want, done+"\n\n"))
+	for _, end := range []string{"\r\n\r\n", "\n\r\n", "\r\n\n"} {
+		assert.Equal(t, forwarded(comment+end+word+end[:1], end[1:2], end[2:]+done+end), want, "%q", end)
+	}
+}
