Forwarder: a stream that ends within an event is a broken one

Callers saw: an endpoint whose stream has no length and that closed in the middle of an event gave the client a 200 that ended in order, without that event and all after it; with nothing before it, an empty body. Nothing was tried elsewhere, and the log said answered.

Cause: for HTTP such an answer is whole, and its length and digest match what the supervisor sent. The relay dropped the piece of an event that was left at the end. (The gatekeeper does not: a piece there breaks the attempt.)

Change: the check of the final frame fails a stream that ends within an event, with the kind answer-broken. The request goes on at another group if it may be repeated; else the client gets 502, or the error event of a stream that has begun, without [DONE].

Before: TestStreamThatEndsWithinEventIsBroken failed after the first byte ("answered"). After: it passes for every length of a stream of three events. The gatekeeper's tests are not affected.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -271,6 +271,18 @@
 	}
 }
 
+// damage returns what is wrong with the received response, given its final frame, or an
+// empty string.
+func (r *responseRelay) damage(final messenger.Frame) string {
+	switch {
+	case !r.matches(final):
+		return "the answer does not match its length and digest"
+	case r.streaming && len(bytes.Trim(r.buffered, "\r\n")) > 0:
+		return "the stream ended within an event"
+	}
+	return ""
+}
+
 // matches reports whether the length and digest in a final frame match the
 // received response.
 func (r *responseRelay) matches(frame messenger.Frame) bool {
--- a/internal/forwarder/answer_test.go
+++ b/internal/forwarder/answer_test.go
@@ -125,3 +125,21 @@
 		assert.Equal(t, forwarded(comment+end+word+end[:1], end[1:2], end[2:]+done+end), want, "%q", end)
 	}
 }
+
+// TestStreamThatEndsWithinEventIsBroken guards against a stream that the client takes for
+// whole, although its endpoint closed the connection in the middle of an event.
+func TestStreamThatEndsWithinEventIsBroken(t *testing.T) {
+	whole := roleChunk + contentChunk("here") + "data: [DONE]\n\n"
+	for cut := range len(whole) + 1 {
+		relay := newResponseRelay(httptest.NewRecorder(), &clientRequest{id: "r1"})
+		deliverAttempt(relay, whole[:cut])
+		final := messenger.Frame{Final: true, Verdict: "answered", Length: cut, Digest: hexDigest(relay.digest)}
+		x := &execution{relay: relay}
+		verified := x.verifyFinalFrame(dispatcher.FrameMsg{Frame: final}).(dispatcher.FrameMsg).Frame
+		want := "may-have-run"
+		if cut == 0 || strings.HasSuffix(whole[:cut], "\n\n") {
+			want = "answered"
+		}
+		assert.Equal(t, verified.Verdict, want, "ended after %q", whole[:cut])
+	}
+}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -113,16 +113,20 @@
 }
 
 // verifyFinalFrame turns a final frame whose length or digest does not match the
-// received response into a failure, so that a damaged response never counts as
-// complete. Other messages are returned unchanged.
+// received response into a failure, and one that ends a stream within an event, so that
+// a damaged response never counts as complete. Other messages are returned unchanged.
 func (x *execution) verifyFinalFrame(msg dispatcher.Msg) dispatcher.Msg {
 	final, ok := msg.(dispatcher.FrameMsg)
-	if !ok || !final.Frame.Final || final.Frame.Verdict != string(dispatcher.Answered) || x.relay.matches(final.Frame) {
+	if !ok || !final.Frame.Final || final.Frame.Verdict != string(dispatcher.Answered) {
+		return msg
+	}
+	damage := x.relay.damage(final.Frame)
+	if damage == "" {
 		return msg
 	}
 	final.Frame.Verdict = string(dispatcher.MayHaveRun)
 	final.Frame.Kind = "answer-broken"
-	final.Frame.Message = "the answer does not match its length and digest"
+	final.Frame.Message = damage
 	return final
 }
 
