Forwarder: a begun stream of a plain service is not run again from its beginning

Found while checking cut streams on the product's own path. Callers saw: where the endpoint of a plain service broke off its event stream and the request may be repeated (a declared repeatable service, or any GET), the client got the events of a second run after those of the first, from the beginning, in an answer framed as whole and logged as answered.

Cause: for a stream that has begun, the request is sent to another group with the text delivered so far, which the engine continues. A plain service's stream has no such text, so the request went out unchanged, and the relay passed on all events of the second run.

Ruled out: a model's stream (the assistant message carries the text), a stream of which the client has nothing yet (it is still run again, as the second test checks), and the gatekeeper (Last-Event-Id, and only where a route declares that streams may be resumed).

Change: once the client has part of a plain service's stream, the request ends with may-have-run, stream-not-continued, as an event; it is not sent again.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -58,9 +58,16 @@
 	r.foreign = false
 }
 
+// kindNotContinued is the kind of the error of a stream that no further attempt continues.
+const kindNotContinued = "stream-not-continued"
+
 // prepareResume makes the next attempt continue after the delivered text, if any
-// of the response was already written.
-func (r *responseRelay) prepareResume() { r.resumed = r.headerWritten }
+// of the response was already written. It returns false if no attempt can: no request
+// tells a plain service how much of its stream the client has.
+func (r *responseRelay) prepareResume() bool {
+	r.resumed = r.headerWritten
+	return !r.resumed || r.request.service == ""
+}
 
 // requestBody returns the body to send to a group. For a resumed stream it asks
 // the engine to continue the text delivered so far, and lowers the token limits
@@ -240,7 +247,7 @@
 // continue the stream.
 func (r *responseRelay) finish(result dispatcher.FinishEffect) dispatcher.FinishEffect {
 	if r.foreign {
-		return dispatcher.FinishEffect{Verdict: dispatcher.MayHaveRun, Kind: "stream-not-continued", Message: "the stream broke, and the next group answered with an error"}
+		return dispatcher.FinishEffect{Verdict: dispatcher.MayHaveRun, Kind: kindNotContinued, Message: "the stream broke, and the next group answered with an error"}
 	}
 	if r.streaming {
 		r.writeHeader()
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -103,7 +103,10 @@
 		case dispatcher.DeliverEffect:
 			x.relay.deliver(effect.Frame)
 		case dispatcher.ResumeEffect:
-			x.relay.prepareResume()
+			if !x.relay.prepareResume() {
+				x.result = &dispatcher.FinishEffect{Verdict: dispatcher.MayHaveRun, Kind: kindNotContinued, Message: "the stream broke, and a service's stream cannot be continued"}
+				return
+			}
 		case dispatcher.ReportRefusalEffect:
 			x.recordRefusal(effect)
 		case dispatcher.FinishEffect:
