Forwarder: a model's text that has ended is not continued

Found while checking cut streams on the product's own path. Callers saw: where a stream broke off after the chunk with the finish_reason, or after [DONE] but before the end of the HTTP body, the text went on: the request was sent to another group with the whole text as what to continue, and the client got more tokens, a second finish_reason, and [DONE] although only the first attempt had sent it.

Cause: a broken stream that has begun is always continued, and the mark that [DONE] was received was kept from one attempt to the next.

Change: once the client has the end of a choice, or [DONE] was received, the stream ends with may-have-run, stream-not-continued, as an event and without [DONE], so that the client does not take it for whole. [DONE] counts for its own attempt only.

Before: TestFinishedTextIsNotContinued failed (" and more" followed the finish_reason). After: it passes for a break after the finish_reason, after [DONE], and after [DONE] alone; one attempt each.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -35,6 +35,7 @@
 	resumed         bool
 	foreign         bool // foreign means that the attempt's response does not continue the stream that the client has in part.
 	doneReceived    bool // doneReceived is set by the [DONE] event of a stream.
+	finished        bool // finished means that a choice of the delivered text has its end.
 	deliveredText   strings.Builder
 	tokenCount      int
 	firstByteAt     time.Duration
@@ -56,6 +57,7 @@
 	r.digest = xxhash.New()
 	r.receivedBytes = 0
 	r.foreign = false
+	r.doneReceived = false
 }
 
 // kindNotContinued is the kind of the error of a stream that no further attempt continues.
@@ -63,10 +65,11 @@
 
 // prepareResume makes the next attempt continue after the delivered text, if any
 // of the response was already written. It returns false if no attempt can: no request
-// tells a plain service how much of its stream the client has.
+// tells a plain service how much of its stream the client has, and an engine would write
+// more after a text that has ended.
 func (r *responseRelay) prepareResume() bool {
 	r.resumed = r.headerWritten
-	return !r.resumed || r.request.service == ""
+	return !r.resumed || (r.request.service == "" && !r.finished && !r.doneReceived)
 }
 
 // requestBody returns the body to send to a group. For a resumed stream it asks
@@ -207,6 +210,7 @@
 		if r.resumed && roleOnly {
 			return nil
 		}
+		r.finished = r.finished || choice.FinishReason != nil
 		if choice.Delta.Content != "" {
 			r.deliveredText.WriteString(choice.Delta.Content)
 			r.recordToken()
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -104,7 +104,7 @@
 			x.relay.deliver(effect.Frame)
 		case dispatcher.ResumeEffect:
 			if !x.relay.prepareResume() {
-				x.result = &dispatcher.FinishEffect{Verdict: dispatcher.MayHaveRun, Kind: kindNotContinued, Message: "the stream broke, and a service's stream cannot be continued"}
+				x.result = &dispatcher.FinishEffect{Verdict: dispatcher.MayHaveRun, Kind: kindNotContinued, Message: "the stream broke where it cannot be continued"}
 				return
 			}
 		case dispatcher.ReportRefusalEffect:
--- a/internal/forwarder/dispatch_test.go
+++ b/internal/forwarder/dispatch_test.go
@@ -16,10 +16,10 @@
 	"gotest.tools/v3/assert"
 )
 
-// newForwarder returns a Forwarder that knows two groups of a plain service. The
+// newForwarder returns a Forwarder that knows two groups of a plain service or model. The
 // stand-in of their leaders returns the body of an event stream, for each attempt
 // counted from 1, and whether the endpoint ended it in order.
-func newForwarder(t *testing.T, stream func(attempt int) (body string, whole bool)) (f *Forwarder, attempts *atomic.Int32) {
+func newForwarder(t *testing.T, spec messenger.GroupSpec, stream func(attempt int) (body string, whole bool)) (f *Forwarder, attempts *atomic.Int32) {
 	attempts = &atomic.Int32{}
 	leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var request messenger.AttemptRequest
@@ -40,8 +40,9 @@
 	var groups []router.Group
 	var loads []messenger.GroupLoad
 	for _, name := range []string{"g1", "g2"} {
-		member := messenger.Member{Instance: name, Address: strings.TrimPrefix(leader.URL, "http://")}
-		groups = append(groups, router.Group{Name: name, Spec: messenger.GroupSpec{Service: "orders", Epoch: 1, Active: true, Members: []messenger.Member{member}}})
+		spec.Epoch, spec.Active = 1, true
+		spec.Members = []messenger.Member{{Instance: name, Address: strings.TrimPrefix(leader.URL, "http://")}}
+		groups = append(groups, router.Group{Name: name, Spec: spec})
 		loads = append(loads, messenger.GroupLoad{Group: name, Epoch: 1, Ready: true, Parallel: 8, Incarnation: "x.1"})
 	}
 	f.router.Update(f.now(), router.GroupsMsg{Groups: groups})
@@ -56,7 +57,7 @@
 // pieces of two runs joined, because the stream of a plain service broke off and the
 // request was sent to another group from its beginning.
 func TestBegunStreamOfServiceIsNotRunAgain(t *testing.T) {
-	f, attempts := newForwarder(t, func(attempt int) (string, bool) {
+	f, attempts := newForwarder(t, messenger.GroupSpec{Service: "orders"}, func(attempt int) (string, bool) {
 		if attempt == 1 {
 			return "id: 1\ndata: run-1\n\nid: 2\nda", false
 		}
@@ -74,7 +75,7 @@
 // TestStreamOfServiceIsRunAgainBeforeItsFirstEvent guards against an error for a request
 // of which the client has nothing yet.
 func TestStreamOfServiceIsRunAgainBeforeItsFirstEvent(t *testing.T) {
-	f, attempts := newForwarder(t, func(attempt int) (string, bool) {
+	f, attempts := newForwarder(t, messenger.GroupSpec{Service: "orders"}, func(attempt int) (string, bool) {
 		if attempt == 1 {
 			return "id: 1\ndata: ru", false
 		}
@@ -85,3 +86,25 @@
 	assert.Equal(t, w.Body.String(), "id: 1\ndata: run-2\n\n")
 	assert.Equal(t, attempts.Load(), int32(2))
 }
+
+// TestFinishedTextIsNotContinued guards against more text after a model's whole answer,
+// because its stream broke off between the last token and the end mark, or after it.
+func TestFinishedTextIsNotContinued(t *testing.T) {
+	const finished = `data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}` + "\n\n"
+	for _, end := range []string{finished, finished + "data: [DONE]\n\n", "data: [DONE]\n\n"} {
+		f, attempts := newForwarder(t, messenger.GroupSpec{Model: "m"}, func(attempt int) (string, bool) {
+			if attempt == 1 {
+				return roleChunk + contentChunk("here") + end, false
+			}
+			return roleChunk + contentChunk(" and more") + finished, true
+		})
+		w := httptest.NewRecorder()
+		f.dispatch(w, httptest.NewRequest(http.MethodPost, "/", nil), &clientRequest{
+			id: "r1", organisation: "press", model: "m", method: http.MethodPost, path: "/", body: []byte(`{"messages":[]}`), repeatable: true, stream: true, startedAt: f.now(),
+		})
+		assert.Assert(t, !strings.Contains(w.Body.String(), "and more"), "%s", w.Body)
+		assert.Assert(t, !strings.Contains(w.Body.String(), "[DONE]"), "%s", w.Body)
+		assert.Assert(t, strings.Contains(w.Body.String(), `"code":"stream-not-continued"`), "%s", w.Body)
+		assert.Equal(t, attempts.Load(), int32(1))
+	}
+}
