Transporter: a server that ends finishes the answers under way

What callers saw: a request whose work was done, a stream's last chunk among them, could be cut when the process that served it ended, though the stop had waited for it.

Cause: both entry roles count a request until its handler returns. net/http writes what the handler left in its buffer, and the end of a chunked body, after that. The stop ended as soon as the count was 0, and the server then closed all connections at once.

Ruled out: flushing in the handlers. It does not send the end of a chunked body, and it turns answers of known length into chunked ones.

Change: at the end of its context a server stops listening, closes idle connections and waits up to 50 ms for the answers under way; then it closes the rest as before. The 50 ms are what the 250 ms between the end of a planned stop and SIGKILL leave beside the 200 ms for the last log lines.

Before and after: TestEndingServerFinishesAnswersUnderWay failed with EOF on the code before, and passes (20 runs with -race). TestEndingServerClosesConnectionsOfHandlersThatDoNotEnd passes before and after.

Conclusion: an answer that a handler has finished is no longer cut by a stop.

--- a/internal/transporter/server.go
+++ b/internal/transporter/server.go
@@ -5,16 +5,22 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
 // Server is one HTTP listener as an actor.
 type Server struct {
-	listener net.Listener
-	server   *http.Server
+	listener     net.Listener
+	server       *http.Server
+	closeTimeout time.Duration
 }
 
+// closeTimeout bounds what the answers under way may take when a server ends. Handlers
+// that have work left are not waited for.
+const closeTimeout = 50 * time.Millisecond
+
 // Listen opens the address and returns a server for the handler.
 func Listen(address string, handler http.Handler, opts ...Option) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
@@ -25,19 +31,20 @@
 	for _, opt := range opts {
 		opt(server)
 	}
-	return &Server{listener: listener, server: server}, nil
+	return &Server{listener: listener, server: server, closeTimeout: closeTimeout}, nil
 }
 
 // Address returns the address in use.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Run serves until the context ends, then closes all connections.
+// Run serves until the context ends, then finishes the answers under way and closes all
+// connections.
 func (s *Server) Run(ctx context.Context) error {
 	ended := make(chan error, 1)
 	go func() { ended <- s.server.Serve(countedListener{s.listener}) }()
 	select {
 	case <-ctx.Done():
-		_ = s.server.Close()
+		s.close()
 		<-ended
 		return nil
 	case err := <-ended:
@@ -45,6 +52,14 @@
 	}
 }
 
+func (s *Server) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), s.closeTimeout)
+	defer cancel()
+	if s.server.Shutdown(ctx) != nil {
+		_ = s.server.Close()
+	}
+}
+
 // Read decodes a message from a request and answers 400 where it can not.
 func Read(w http.ResponseWriter, r *http.Request, in any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxInnerBytes)).Decode(in)
