Gatekeeper: a stopping entry passes on only what can end in the grace

What callers saw: in a planned stop, requests that may not be repeated were passed on late in the grace and cut at its end.

Cause: an entry decided once, by the age of the stop when a request's header arrived, and never by what was left of the grace. - A request whose header came before SIGTERM or in the 2.5 s after it, and whose body ended late, was passed on whatever was left. - So was the next attempt of a request that an endpoint had refused late. - A request whose time limit ends after the grace was passed on in those 2.5 s. - With a grace below 2.75 s requests were passed on until the process ended.

Ruled out: a longer margin after which all are refused. It does not hold for slow bodies and for retries. Refusing every request whose whole limit does not fit: a stream that may be resumed usually ends in a fraction of its limit, and nothing is lost if it does not; all of them would be turned away while the balancer still sends connections here.

Change: each attempt, the first and later ones, is checked against the end of the stop, which Drain takes from its context, and so from grace-s. A request that may not be repeated is passed on only if its time limit ends a quarter of a second before. One that may be repeated needs half of its limit, and its later attempts are free. The rest gets 503 with Retry-After and Connection: close, and has run nowhere.

Conclusion: no request that may not be repeated is passed on when the stop may cut it.

--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -14,7 +14,6 @@
 package gatekeeper
 
 import (
-	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -127,7 +126,7 @@
 	controlClient  *transporter.Client
 	bufferPool     *transporter.Pool
 	active         atomic.Pointer[activeConfig]
-	drainStart     atomic.Int64 // drainStart is when draining began; 0 before.
+	stop           atomic.Pointer[plannedStop] // stop is nil before a planned stop.
 	inFlight       atomic.Int64
 
 	mu            sync.Mutex
@@ -179,7 +178,7 @@
 // Ready reports whether this entry can serve new clients: its configuration was
 // confirmed recently, and it is not draining.
 func (g *Gatekeeper) Ready() bool {
-	return g.drainStart.Load() == 0 && g.inTouch()
+	return g.stop.Load() == nil && g.inTouch()
 }
 
 // inTouch reports whether control confirmed the configuration recently.
@@ -202,34 +201,6 @@
 // Open returns the number of requests in flight.
 func (g *Gatekeeper) Open() int { return int(g.inFlight.Load()) }
 
-// Drain makes the entry not ready. It returns when the load balancer has had time
-// to notice and no request is in flight, or when the context ends.
-func (g *Gatekeeper) Drain(ctx context.Context) {
-	g.drainStart.Store(int64(timekeeper.Now()))
-	minimum := time.NewTimer(minDrain)
-	defer minimum.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-minimum.C:
-	}
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for g.Open() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-const (
-	// minDrain is longer than the load balancer needs to miss two health checks.
-	minDrain          = 3200 * time.Millisecond
-	drainPollInterval = 50 * time.Millisecond
-)
-
 // sightings reports the endpoints with open streams to control; mu is held.
 func (g *Gatekeeper) sightings(now time.Duration) []messenger.Sighting {
 	var list []messenger.Sighting
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -37,6 +37,8 @@
 		Routes: []describer.Route{
 			{Name: "orders", Host: "a.example", Prefix: "/orders/", Kind: describer.KindUnsafe, Timeout: 2 * time.Second, MaxAttempts: 2, Splits: splits("desk")},
 			{Name: "look", Host: "a.example", Prefix: "/look/", Kind: describer.KindSafe, Timeout: 2 * time.Second, MaxAttempts: 2, Splits: splits("desk")},
+			{Name: "ledger", Host: "a.example", Prefix: "/ledger/", Kind: describer.KindUnsafe, Timeout: time.Minute, MaxAttempts: 2, Splits: splits("desk")},
+			{Name: "archive", Host: "a.example", Prefix: "/archive/", Kind: describer.KindSafe, Timeout: time.Minute, MaxAttempts: 2, Splits: splits("desk")},
 			{Name: "verse", Host: "a.example", Prefix: "/verse/", Kind: describer.KindStreaming, Timeout: 4 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2, Resumable: true, Splits: splits("writers")},
 			{Name: "once", Host: "a.example", Prefix: "/once/", Kind: describer.KindStreaming, Timeout: 4 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2, Splits: splits("writers")},
 		},
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -23,9 +23,6 @@
 	// clientRetryDelay is when a rejected client should retry: by then a group has
 	// free slots again.
 	clientRetryDelay = 1500 * time.Millisecond
-	// drainAcceptPeriod is how long a draining entry still accepts requests on open
-	// connections.
-	drainAcceptPeriod = 2500 * time.Millisecond
 	// maxClientTimeout bounds the timeout that a client states.
 	maxClientTimeout = 10 * time.Minute
 )
@@ -78,12 +75,13 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	e := &exchange{w: w, r: r, startedAt: timekeeper.Now()}
-	if drainStart := g.drainStart.Load(); drainStart != 0 {
+	stop := g.stop.Load()
+	if stop.acceptPeriodOver(e.startedAt) {
+		g.reject(e, stopReason)
+		return
+	}
+	if stop != nil {
 		w.Header().Set("Connection", "close")
-		if e.startedAt-time.Duration(drainStart) > drainAcceptPeriod {
-			g.reject(e, "this entry stops")
-			return
-		}
 	}
 	defer g.logRequest(e)
 	if active := g.active.Load(); active == nil || !g.recentlyConfirmed(active) {
@@ -225,6 +223,9 @@
 		e.outcome = "cut"
 		panic(http.ErrAbortHandler)
 	}
+	if g.stop.Load() != nil {
+		e.w.Header().Set("Connection", "close")
+	}
 	g.dialect.SetRetryAfter(e.w.Header(), e.retryDelay())
 	http.Error(e.w, "not run: "+reason, http.StatusServiceUnavailable)
 }
@@ -301,6 +302,8 @@
 		return heldReason
 	case e.attempts >= max(e.route.MaxAttempts, 1):
 		return "no attempt is left"
+	case !g.stop.Load().allowsAttempt(e, request.Now):
+		return stopReason
 	case e.attempts == 0 && request.Model != "" && !g.throttler.Admits(request.Model, e.utilization, rand.Float64()):
 		return "begins are late, and a part is turned away"
 	}
