Gatekeeper: the end of a planned stop answers what still runs

What callers saw: a request that was still running at the end of the grace got a closed connection and no answer. Its caller could not tell a stop from a broken network.

Cause: the stop waited for the requests in flight until its time was over, and the end of the process closed their connections. Nothing told the handlers that the time was up. Their endpoints had been handed the client's whole time limit, and a request that was passed on after SIGTERM could outlive the process that waited for it.

Ruled out: a shorter time limit for all requests from SIGTERM on. It would cut what can still end by itself.

Change: a quarter of a second before Drain must return, the contexts of the requests in flight end. They are answered 504, "may have run: this entry stops", or 503 if no endpoint was reached. A stream that has begun is closed, as before, but while the entry can still cancel its work. The time handed on with an attempt never reaches beyond that moment.

Conclusion: at the end of a planned stop every request that has not begun its answer gets a true one.

--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -54,7 +54,7 @@
 	request.ContentLength = int64(len(e.body))
 	request.Host = e.r.Host
 	request.Header = g.dialect.ForwardHeader(e.r.Header, ForwardMetadata{
-		Instance: target.ID, Organisation: e.organisation, Timeout: e.deadline - timekeeper.Now(), LastEventID: e.lastEventID,
+		Instance: target.ID, Organisation: e.organisation, Timeout: g.stop.Load().boundDeadline(e.deadline) - timekeeper.Now(), LastEventID: e.lastEventID,
 		Urgency: e.urgency(),
 	})
 	response, connection, err := g.endpointClient.DoOn(request)
@@ -203,6 +203,8 @@
 		panic(http.ErrAbortHandler)
 	case e.serverError != nil:
 		g.writeResponse(e, e.serverError.response, e.serverError.body)
+	case g.ending.Err() != nil:
+		g.fail(e, http.StatusGatewayTimeout, stopReason)
 	case ctx.Err() != nil:
 		g.fail(e, http.StatusGatewayTimeout, "the time limit is over")
 	default:
--- a/internal/gatekeeper/drain.go
+++ b/internal/gatekeeper/drain.go
@@ -59,12 +59,25 @@
 	return e.attempts > 0 || float64(s.endsAt-now) >= minLimitShare*float64(e.deadline-e.startedAt)
 }
 
+// boundDeadline returns the deadline of a request, or the end of the stop if that is
+// earlier.
+func (s *plannedStop) boundDeadline(deadline time.Duration) time.Duration {
+	if s == nil {
+		return deadline
+	}
+	return min(deadline, s.endsAt)
+}
+
 // Drain makes the entry not ready. It returns when the load balancer has had time
 // to notice and no request is in flight, or when the context ends. Meanwhile the
 // entry makes no attempt that the end of the context could interrupt, unless the
-// request may be repeated.
+// request may be repeated. Shortly before the context ends, the requests in flight are
+// answered as failed, and streams that have begun are closed.
 func (g *Gatekeeper) Drain(ctx context.Context) {
-	g.stop.Store(newPlannedStop(ctx))
+	stop := newPlannedStop(ctx)
+	g.stop.Store(stop)
+	ending := time.AfterFunc(stop.endsAt-stop.begunAt, g.endRequests)
+	defer ending.Stop()
 	minimum := time.NewTimer(minDrain)
 	defer minimum.Stop()
 	select {
--- a/internal/gatekeeper/drain_test.go
+++ b/internal/gatekeeper/drain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -86,27 +87,25 @@
 	err      error
 }
 
-// callWhile sends an order of at most once with a minute's limit, runs a function
-// meanwhile, and returns the reply.
-func (s *testSystem) callWhile(body io.Reader, meanwhile func()) reply {
+// send sends an order of at most once with a limit of a minute.
+func (s *testSystem) send(body io.Reader) <-chan reply {
 	r, err := http.NewRequest(http.MethodPost, s.server.URL+"/ledger/1", body)
 	assert.NilError(s.t, err)
 	r.Host = "a.example"
 	r.Header.Set("Key", "k1")
 	r.Header.Set("Attempt", "a1")
-	done := make(chan reply, 1)
+	replies := make(chan reply, 1)
 	go func() {
 		response, err := http.DefaultClient.Do(r)
 		if err != nil {
-			done <- reply{err: err}
+			replies <- reply{err: err}
 			return
 		}
 		text, err := io.ReadAll(response.Body)
 		_ = response.Body.Close()
-		done <- reply{response, string(text), err}
+		replies <- reply{response, string(text), err}
 	}()
-	meanwhile()
-	return <-done
+	return replies
 }
 
 // Guards against a request whose body ends late in the grace, and that is passed on
@@ -116,15 +115,15 @@
 	e := s.addEndpoint("desk", respond(200, "printed"))
 	s.start()
 	body, rest := io.Pipe()
-	got := s.callWhile(body, func() {
-		_, err := io.WriteString(rest, "two ")
-		assert.NilError(t, err)
-		s.awaitTrue("the request is in flight", func() bool { return s.entry.Open() == 1 })
-		s.drain(graceOfTests)
-		_, err = io.WriteString(rest, "sheets")
-		assert.NilError(t, err)
-		assert.NilError(t, rest.Close())
-	})
+	replies := s.send(body)
+	_, err := io.WriteString(rest, "two ")
+	assert.NilError(t, err)
+	s.awaitTrue("the request is in flight", func() bool { return s.entry.Open() == 1 })
+	s.drain(graceOfTests)
+	_, err = io.WriteString(rest, "sheets")
+	assert.NilError(t, err)
+	assert.NilError(t, rest.Close())
+	got := <-replies
 	assert.NilError(t, got.err)
 	assertSentElsewhere(t, got.response, got.body)
 	assert.Equal(t, e.requestCount(), 0)
@@ -142,12 +141,49 @@
 	}
 	first, second := s.addEndpoint("desk", refuse), s.addEndpoint("desk", refuse)
 	s.start()
-	got := s.callWhile(strings.NewReader("x"), func() {
-		<-arrived
-		s.drain(graceOfTests)
-		close(release)
-	})
+	replies := s.send(strings.NewReader("x"))
+	<-arrived
+	s.drain(graceOfTests)
+	close(release)
+	got := <-replies
 	assert.NilError(t, got.err)
 	assertSentElsewhere(t, got.response, got.body)
 	assert.Equal(t, first.requestCount()+second.requestCount(), 1)
 }
+
+// Guards against a request that is cut without an answer at the end of a planned stop.
+func TestEndOfStopAnswersWhatStillRuns(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	arrived := make(chan struct{})
+	s.addEndpoint("desk", func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+	})
+	s.start()
+	replies := s.send(strings.NewReader("x"))
+	<-arrived
+	s.drain(400 * time.Millisecond)
+	select {
+	case got := <-replies:
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.response.StatusCode, http.StatusGatewayTimeout)
+		assert.Equal(t, got.body, "may have run: this entry stops\n")
+	case <-time.After(10 * time.Second):
+		s.server.CloseClientConnections()
+		t.Fatal("the request has no answer, and its time limit is far off")
+	}
+}
+
+// Guards against an endpoint that works on when the entry that waits for it has ended.
+func TestStoppingEntryHandsOnNoMoreTimeThanItHas(t *testing.T) {
+	s := newSystem(t, time.Minute)
+	e := s.addEndpoint("desk", respond(200, "printed"))
+	s.start()
+	s.drain(graceOfTests)
+	_, _, err := s.call(http.MethodPost, "/archive/1", "x", "Left-Ms", "28000")
+	assert.NilError(t, err)
+	assert.Equal(t, e.requestCount(), 1)
+	left, err := strconv.Atoi(e.requests[0].Header.Get("Left-Ms"))
+	assert.NilError(t, err)
+	assert.Assert(t, time.Duration(left)*time.Millisecond < graceOfTests, left)
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -14,6 +14,7 @@
 package gatekeeper
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -128,6 +129,8 @@
 	active         atomic.Pointer[activeConfig]
 	stop           atomic.Pointer[plannedStop] // stop is nil before a planned stop.
 	inFlight       atomic.Int64
+	ending         context.Context // ending ends when a planned stop leaves requests no more time.
+	endRequests    context.CancelFunc
 
 	mu            sync.Mutex
 	seeds         []string
@@ -157,7 +160,9 @@
 
 // New returns an entry. Run keeps it up to date.
 func New(cfg Config, dialect Dialect, logger *log.Logger) *Gatekeeper {
+	ending, endRequests := context.WithCancel(context.Background())
 	return &Gatekeeper{
+		ending: ending, endRequests: endRequests,
 		cfg: cfg, log: logger, dialect: dialect, seeds: cfg.Seeds,
 		endpointClient: transporter.NewClient(transporter.WithDialTimeout(endpointDialTimeout), transporter.WithIdle(maxIdleConns, idleConnTimeout)),
 		controlClient:  transporter.NewClient(transporter.WithDialTimeout(controlDialTimeout)),
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -94,6 +94,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), e.deadline-timekeeper.Now())
 	defer cancel()
+	defer context.AfterFunc(g.ending, cancel)()
 	defer func() { g.bufferPool.Release(e.pooledBytes) }()
 	g.recordRequest(e)
 	if e.route.Kind == describer.KindStreaming {
