Forwarder: an entry that has drained passes no request on

What callers saw: an order whose body was still arriving at SIGTERM could be sent to a group by a process that was about to end, and was cut there: its caller could not know whether it had run.

Cause: the entry looked for the stop when a request's header had come, and counted the request only once its body was read. In between the stop found nothing in progress and ended the process, or went on for another request's sake while this one was sent.

Ruled out: counting a request from its header on. A client that sends slowly would hold up the stop.

Change: a request is counted and the stop is looked for in one step, before anything is sent. What comes later is refused as not run, with the code "draining".

Conclusion: what a stop does not wait for is not sent.

--- a/internal/forwarder/api.go
+++ b/internal/forwarder/api.go
@@ -48,6 +48,9 @@
 	message string
 }
 
+// drainingError refuses a request because the entry stops.
+var drainingError = apiError{http.StatusServiceUnavailable, "draining", "not-run", "this entry is stopping; send the request again"}
+
 // RegisterAPI registers the handlers of the client API.
 func (f *Forwarder) RegisterAPI(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/models", f.handleModels)
@@ -87,7 +90,8 @@
 	draining := f.draining
 	f.mu.Unlock()
 	if draining {
-		return "", &apiError{http.StatusServiceUnavailable, "draining", "not-run", "this entry is stopping; send the request again"}
+		refusal := drainingError
+		return "", &refusal
 	}
 	if f.controlLost() {
 		return "", &apiError{http.StatusServiceUnavailable, "cut-off", "not-run", "this entry has lost contact to control for too long; send the request to another one"}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -47,17 +47,15 @@
 	result     *dispatcher.FinishEffect
 }
 
-// dispatch runs a request until its response or error is written.
+// dispatch runs a request until its response or error is written. It refuses the
+// request if the entry has begun to drain since it admitted the client.
 func (f *Forwarder) dispatch(w http.ResponseWriter, r *http.Request, request *clientRequest) {
-	f.mu.Lock()
-	f.openRequests++
-	f.budget.RecordRequest(request.organisation)
-	f.mu.Unlock()
-	defer func() {
-		f.mu.Lock()
-		f.openRequests--
-		f.mu.Unlock()
-	}()
+	if !f.begin(request.organisation) {
+		f.countOutcome(request, "refused")
+		writeAPIError(w, request.id, drainingError)
+		return
+	}
+	defer f.end()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	x := &execution{
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,6 +104,26 @@
 	return f.openRequests
 }
 
+// begin counts a request as in progress, so that a stop waits for it. It returns false
+// if the entry drains: the stop may be over before the request is.
+func (f *Forwarder) begin(organisation string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.draining {
+		return false
+	}
+	f.openRequests++
+	f.budget.RecordRequest(organisation)
+	return true
+}
+
+// end ends what begin began.
+func (f *Forwarder) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.openRequests--
+}
+
 // Drain refuses new requests and waits until those in progress have ended or the
 // context ends.
 func (f *Forwarder) Drain(ctx context.Context) {
