Forwarder: the end of a planned stop answers what still runs

What callers saw: a request that was still open when stop-after-ms was over got a closed connection. A caller could not know whether it had run, even if it had only waited for a free place.

Cause: Drain waited for the requests in progress until its context ended, and the end of the process closed their connections. Nothing told the requests that the time was up.

Ruled out: ending them as if their callers had left. That cancels the work and says "may have run" of all of them, also of those that no group had started.

Change: the state machine of a request has a new message, StoppingMsg. A request without an attempt ends as not run. An attempt that was sent is revoked, and the leader's answer decides: not started, so 503 "not-run", or else 502 "may-have-run". Work with an idempotency key is not cancelled, since its answer can be had by the key elsewhere. The message comes 2.5 s before the bound of the stop: 2 s for the revocation, the rest for the answer; half of a stop that is shorter than 5 s.

Conclusion: a planned stop ends every request with a verdict that is true.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -81,6 +81,7 @@
 	freeRetry         bool // freeRetry is set while the next attempt needs no retry budget.
 	mayHaveRun        bool // mayHaveRun is set once any attempt may have run.
 	followsEarlier    bool // followsEarlier is set while the attempt belongs to an earlier request with the same key.
+	stopping          bool // stopping is set once this process is about to end.
 	lastErrorKind     string
 	lastErrorMessage  string
 	effects           []Effect
@@ -125,6 +126,8 @@
 		m.handleCrashReported(now, msg)
 	case CallerGoneMsg:
 		m.handleCallerGone()
+	case StoppingMsg:
+		m.handleStopping()
 	}
 	return m.effects
 }
--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -47,6 +47,9 @@
 // CallerGoneMsg reports that the caller disconnected.
 type CallerGoneMsg struct{}
 
+// StoppingMsg reports that this process is about to end.
+type StoppingMsg struct{}
+
 func (StartMsg) dispatcherMsg()          {}
 func (ChosenMsg) dispatcherMsg()         {}
 func (ClaimedMsg) dispatcherMsg()        {}
@@ -55,6 +58,7 @@
 func (RevokedMsg) dispatcherMsg()        {}
 func (CrashReportedMsg) dispatcherMsg()  {}
 func (CallerGoneMsg) dispatcherMsg()     {}
+func (StoppingMsg) dispatcherMsg()       {}
 
 // Effect is an output of a Machine.
 type Effect interface{ dispatcherEffect() }
@@ -88,7 +92,8 @@
 type RevokeEffect struct {
 	Target  Target
 	Attempt string
-	Cancel  bool // Cancel means that the caller left; the machine expects no RevokedMsg.
+	Cancel  bool // Cancel means that the attempt is to end if it has started.
+	Await   bool // Await means that the machine expects a RevokedMsg.
 }
 
 // DeliverEffect passes a part of the response to the caller.
--- a/internal/dispatcher/recovery.go
+++ b/internal/dispatcher/recovery.go
@@ -13,7 +13,10 @@
 	KindLeaderGone        = "leader-gone"
 )
 
-const kindLeaderRestarted = "leader-restarted"
+const (
+	kindLeaderRestarted = "leader-restarted"
+	kindDraining        = "draining"
+)
 
 // handleConnectionLost handles a connection that failed, closed early or timed
 // out. Unless no byte was sent, the attempt may be running: the machine first
@@ -58,7 +61,7 @@
 
 func (m *Machine) revoke() {
 	m.phase = revoking
-	m.emit(RevokeEffect{Target: m.target, Attempt: m.attemptID})
+	m.emit(RevokeEffect{Target: m.target, Attempt: m.attemptID, Await: true})
 }
 
 // handleRevoked continues after the leader was asked to revoke the attempt.
@@ -67,6 +70,8 @@
 		return
 	}
 	switch {
+	case m.stopping:
+		m.finishStopping(msg.NotRun)
 	case msg.NotRun:
 		m.handleNotRun(now, "revoked", "the attempt was revoked before it started")
 	case msg.Failed && now-m.disconnectedSince < m.options.reattachTimeout:
@@ -78,6 +83,29 @@
 	}
 }
 
+// handleStopping ends the request. An attempt that was sent is revoked first, since it
+// may not have started. One with an idempotency key is not cancelled: the caller can
+// get its answer by the key at another entry.
+func (m *Machine) handleStopping() {
+	m.stopping = true
+	switch {
+	case m.phase == revoking:
+	case m.followsEarlier:
+		m.finishStopping(false)
+	case m.phase == sending || m.phase == attaching:
+		m.phase = revoking
+		m.emit(RevokeEffect{Target: m.target, Attempt: m.attemptID, Cancel: m.request.IdempotencyKey == "", Await: true})
+	default:
+		m.finishStopping(true)
+	}
+}
+
+// finishStopping ends the request because this process is about to end.
+func (m *Machine) finishStopping(attemptNotRun bool) {
+	m.mayHaveRun = m.mayHaveRun || !attemptNotRun
+	m.finish(NotRun, kindDraining, "this entry is stopping")
+}
+
 // mayRunAgain reports whether the request may be sent to another group although
 // an attempt of it may have run.
 func (m *Machine) mayRunAgain() bool {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -66,6 +66,7 @@
 		}, uuid.NewString),
 	}
 	x.update(dispatcher.StartMsg{})
+	ending := f.ending.Done()
 	for x.result == nil {
 		select {
 		case received := <-x.events:
@@ -74,6 +75,9 @@
 			}
 		case <-ctx.Done():
 			x.update(dispatcher.CallerGoneMsg{})
+		case <-ending:
+			ending = nil
+			x.update(dispatcher.StoppingMsg{})
 		}
 	}
 	x.cancelStep()
@@ -263,13 +267,13 @@
 	x.router.Update(x.now(), router.LoadsMsg{Loads: []messenger.GroupLoad{*frame.Load}})
 }
 
-// revoke asks the target never to start the attempt. If the request is cancelled,
-// the outcome is ignored, and the call may outlive the client's connection by up
-// to revokeTimeout.
+// revoke asks the target never to start the attempt, and to end it if the effect says
+// so. If nothing awaits the outcome, the call may outlive the client's connection by
+// up to revokeTimeout.
 func (x *execution) revoke(effect dispatcher.RevokeEffect) {
 	request := messenger.RevokeRequest{Attempt: effect.Attempt, Incarnation: effect.Target.Incarnation, Cancel: effect.Cancel}
 	url := "http://" + effect.Target.Address + "/inner/revoke"
-	if effect.Cancel {
+	if !effect.Await {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), revokeTimeout)
 		defer cancel()
 		var reply messenger.RevokeAnswer
--- a/internal/forwarder/drain_test.go
+++ b/internal/forwarder/drain_test.go
@@ -17,6 +17,7 @@
 	"papayaseam/internal/exposer"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/registrar"
+	"papayaseam/internal/timekeeper"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -92,17 +93,40 @@
 	_ = encoder.Encode(messenger.Frame{Attempt: attempt.Attempt, Offset: len(body), Final: true, Verdict: "answered", Length: len(body), Digest: hexDigest(relay.digest)})
 }
 
-// order sends an order that may run once to the entry's API.
-func order(entry *Forwarder, body io.Reader) *httptest.ResponseRecorder {
+// sendHeartbeats shows that an attempt goes on until its reader leaves.
+func sendHeartbeats(w http.ResponseWriter, r *http.Request, attempt messenger.AttemptRequest) {
+	for r.Context().Err() == nil {
+		_ = json.NewEncoder(w).Encode(messenger.Frame{Attempt: attempt.Attempt})
+		_ = http.NewResponseController(w).Flush()
+		timekeeper.Sleep(r.Context(), frameTimeout/heartbeatsPerTimeout)
+	}
+}
+
+const heartbeatsPerTimeout = 10
+
+// newOrder returns an order that may run once, and how its client leaves.
+func newOrder(body io.Reader) (*http.Request, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := httptest.NewRequest(http.MethodPost, "/services/desk/orders", body).WithContext(ctx)
+	r.Header.Set("Authorization", "Bearer k1")
+	return r, cancel
+}
+
+func serve(entry *Forwarder, r *http.Request) *httptest.ResponseRecorder {
 	api := http.NewServeMux()
 	entry.RegisterAPI(api)
-	r := httptest.NewRequest(http.MethodPost, "/services/desk/orders", body)
-	r.Header.Set("Authorization", "Bearer k1")
 	w := httptest.NewRecorder()
 	api.ServeHTTP(w, r)
 	return w
 }
 
+// order sends an order to the entry's API.
+func order(entry *Forwarder, body io.Reader) *httptest.ResponseRecorder {
+	r, cancel := newOrder(body)
+	defer cancel()
+	return serve(entry, r)
+}
+
 // readerFunc is a body that runs a function before its first byte is read.
 type readerFunc func(data []byte) (int, error)
 
@@ -123,3 +147,44 @@
 	assert.Assert(t, strings.Contains(w.Body.String(), "not-run"), w.Body.String())
 	assert.Equal(t, fleet.attempts.Load(), int32(1))
 }
+
+// Guards against a request that is cut without an answer at the end of a planned stop.
+func TestEndOfStopAnswersWhatStillRuns(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		revoked messenger.RevokeAnswer
+		status  int
+		verdict string
+	}{
+		{"waiting at its group", messenger.RevokeAnswer{NotRun: true}, http.StatusServiceUnavailable, "not-run"},
+		{"running", messenger.RevokeAnswer{State: "running"}, http.StatusBadGateway, "may-have-run"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			arrived := make(chan struct{}, 1)
+			fleet := &fakeFleet{revoked: c.revoked, serve: func(w http.ResponseWriter, r *http.Request, attempt messenger.AttemptRequest) {
+				arrived <- struct{}{}
+				sendHeartbeats(w, r, attempt)
+			}}
+			entry := fleet.newEntry(t)
+			replies := make(chan *httptest.ResponseRecorder, 1)
+			r, cancel := newOrder(strings.NewReader("two sheets"))
+			defer cancel()
+			go func() { replies <- serve(entry, r) }()
+			<-arrived
+			ctx, cancelStop := context.WithTimeout(t.Context(), 400*time.Millisecond)
+			defer cancelStop()
+			entry.Drain(ctx)
+			select {
+			case w := <-replies:
+				assert.Equal(t, w.Code, c.status)
+				var answer messenger.ErrorResponse
+				assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+				assert.Equal(t, answer.Error.Verdict, c.verdict)
+				assert.Equal(t, answer.Error.Code, "draining")
+			case <-time.After(5 * time.Second):
+				t.Fatal("the request has no answer")
+			}
+			assert.Equal(t, fleet.attempts.Load(), int32(1))
+		})
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -44,9 +44,12 @@
 	commandTimeout   = 3 * time.Second
 	revokeTimeout    = 2 * time.Second
 	groupWaitTimeout = 10 * time.Second
-	prefixHashBytes  = 256 // prefixHashBytes is how much of the messages identifies a prompt prefix.
-	maxBodyBytes     = 8 << 20
-	maxResponseBytes = 16 << 20
+	// lastAnswersMargin is the time reserved at the end of a planned stop to end the
+	// requests in progress: a revocation, and an answer. A short stop gives half its time.
+	lastAnswersMargin = revokeTimeout + 500*time.Millisecond
+	prefixHashBytes   = 256 // prefixHashBytes is how much of the messages identifies a prompt prefix.
+	maxBodyBytes      = 8 << 20
+	maxResponseBytes  = 16 << 20
 )
 
 // Config configures an entry process: its identity, its location, the addresses
@@ -71,6 +74,9 @@
 	startedAt  time.Time
 	objectives *recorder.Recorder
 
+	ending      context.Context // ending ends when a planned stop leaves requests no more time.
+	endRequests context.CancelFunc
+
 	mu           sync.Mutex
 	router       *router.Router
 	budget       *retrier.Budget
@@ -81,7 +87,9 @@
 // New returns a Forwarder. It accepts requests once Run has synchronised with
 // control.
 func New(cfg Config, logger *log.Logger, health *exposer.Health) *Forwarder {
+	ending, endRequests := context.WithCancel(context.Background())
 	f := &Forwarder{
+		ending: ending, endRequests: endRequests,
 		cfg: cfg, log: logger, health: health, client: transporter.NewClient(), startedAt: time.Now(), objectives: recorder.New(),
 		router: router.New(router.WithLocation(cfg.Region, cfg.FailureDomain), router.WithSeed(cfg.Seed)),
 		budget: retrier.New(retryBudgetRatio, retryBudgetLimit),
@@ -125,8 +133,14 @@
 }
 
 // Drain refuses new requests and waits until those in progress have ended or the
-// context ends.
+// context ends. Shortly before it ends, the requests in progress are ended and their
+// clients told whether they may have run.
 func (f *Forwarder) Drain(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline)
+		ending := time.AfterFunc(max(left-lastAnswersMargin, left/2), f.endRequests)
+		defer ending.Stop()
+	}
 	f.mu.Lock()
 	f.draining = true
 	f.mu.Unlock()
