Runner: all roles of a process drain at once

What callers saw: an entry that shares a process with a side process would take and pass on requests after SIGTERM for as long as the side process drained, to the end of the stop if that took so long, and then cut them.

Cause: the stop drained the roles of a process one after another, the side process first.

Ruled out: draining the entry first. The group would then take new work from other entries while this one drains.

Change: the roles drain at once, and the stop waits for all.

Before and after: TestAllRolesOfAProcessDrainAtOnce waited for its bound of 10 s and failed; it passes now. No deployment in examples or deploy shares a process between these roles; the settings allow it.

Conclusion: an entry refuses from SIGTERM on, whatever else its process does.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -255,10 +256,14 @@
 	return errStopped
 }
 
+// drain drains all roles at once: an entry that another role kept waiting would take
+// requests all the while.
 func (p *process) drain(ctx context.Context) {
+	var wg sync.WaitGroup
 	for _, d := range p.drainers {
-		d.Drain(ctx)
+		wg.Go(func() { d.Drain(ctx) })
 	}
+	wg.Wait()
 }
 
 func (p *process) open() int {
