Gatekeeper: answers during a stop ask clients to leave the connection

What callers saw: a client whose request was in flight at SIGTERM got its answer, kept the connection, and was turned away with 503 on it later in the grace, though other entries were free.

Cause: the entry set "Connection: close" when a request arrived, so only for those that came after SIGTERM.

Ruled out: closing idle connections at SIGTERM, as net/http can. A request that crosses the close gets no answer, and its caller cannot know whether it ran; docs/RULES.md has idle connections closed last for that reason.

Change: the header is set again as a response begins.

Before and after: TestAnswerDuringStopAsksToCloseConnection failed before for an answer and passes now for an answer, an endpoint's error and a stream (3 runs with -race).

Conclusion: after one more answer a client leaves a stopping entry. A stream that began before SIGTERM has sent its header and is the exception.

--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -189,6 +189,7 @@
 
 func (g *Gatekeeper) writeResponse(e *exchange, response *http.Response, body []byte) {
 	e.outcome = "answered"
+	g.announceStop(e)
 	g.dialect.CopyResponseHeader(e.w.Header(), response.Header)
 	e.w.WriteHeader(response.StatusCode)
 	_, _ = e.w.Write(body)
--- a/internal/gatekeeper/drain.go
+++ b/internal/gatekeeper/drain.go
@@ -68,6 +68,15 @@
 	return min(deadline, s.endsAt)
 }
 
+// announceStop asks the client to send its next request over another connection if
+// this entry stops. It is called as a request arrives and as its response begins, since
+// the stop may begin in between.
+func (g *Gatekeeper) announceStop(e *exchange) {
+	if g.stop.Load() != nil {
+		e.w.Header().Set("Connection", "close")
+	}
+}
+
 // Drain makes the entry not ready. It returns when the load balancer has had time
 // to notice and no request is in flight, or when the context ends. Meanwhile the
 // entry makes no attempt that the end of the context could interrupt, unless the
--- a/internal/gatekeeper/drain_test.go
+++ b/internal/gatekeeper/drain_test.go
@@ -87,13 +87,14 @@
 	err      error
 }
 
-// send sends an order of at most once with a limit of a minute.
-func (s *testSystem) send(body io.Reader) <-chan reply {
-	r, err := http.NewRequest(http.MethodPost, s.server.URL+"/ledger/1", body)
+// send sends a request of which the test does not wait for the reply at once.
+func (s *testSystem) send(path string, body io.Reader) <-chan reply {
+	r, err := http.NewRequest(http.MethodPost, s.server.URL+path, body)
 	assert.NilError(s.t, err)
 	r.Host = "a.example"
 	r.Header.Set("Key", "k1")
 	r.Header.Set("Attempt", "a1")
+	r.Header.Set("Model", "m")
 	replies := make(chan reply, 1)
 	go func() {
 		response, err := http.DefaultClient.Do(r)
@@ -115,7 +116,7 @@
 	e := s.addEndpoint("desk", respond(200, "printed"))
 	s.start()
 	body, rest := io.Pipe()
-	replies := s.send(body)
+	replies := s.send("/ledger/1", body)
 	_, err := io.WriteString(rest, "two ")
 	assert.NilError(t, err)
 	s.awaitTrue("the request is in flight", func() bool { return s.entry.Open() == 1 })
@@ -141,7 +142,7 @@
 	}
 	first, second := s.addEndpoint("desk", refuse), s.addEndpoint("desk", refuse)
 	s.start()
-	replies := s.send(strings.NewReader("x"))
+	replies := s.send("/ledger/1", strings.NewReader("x"))
 	<-arrived
 	s.drain(graceOfTests)
 	close(release)
@@ -160,7 +161,7 @@
 		<-r.Context().Done()
 	})
 	s.start()
-	replies := s.send(strings.NewReader("x"))
+	replies := s.send("/ledger/1", strings.NewReader("x"))
 	<-arrived
 	s.drain(400 * time.Millisecond)
 	select {
@@ -187,3 +188,35 @@
 	assert.NilError(t, err)
 	assert.Assert(t, time.Duration(left)*time.Millisecond < graceOfTests, left)
 }
+
+// Guards against a client that keeps its connection to a stopping entry, since its
+// request came before the stop, and is turned away there with the next one.
+func TestAnswerDuringStopAsksToCloseConnection(t *testing.T) {
+	for _, c := range []struct {
+		service, path, contentType string
+		status                     int
+	}{
+		{"desk", "/ledger/1", "text/plain", http.StatusOK},
+		{"desk", "/ledger/1", "text/plain", http.StatusBadRequest},
+		{"writers", "/verse/1", "text/event-stream", http.StatusOK},
+	} {
+		s := newSystem(t, time.Minute)
+		arrived, release := make(chan struct{}), make(chan struct{})
+		s.addEndpoint(c.service, func(w http.ResponseWriter, _ *http.Request) {
+			close(arrived)
+			<-release
+			w.Header().Set("Content-Type", c.contentType)
+			w.WriteHeader(c.status)
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		})
+		s.start()
+		replies := s.send(c.path, strings.NewReader("x"))
+		<-arrived
+		s.drain(graceOfTests)
+		close(release)
+		got := <-replies
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.response.StatusCode, c.status)
+		assert.Assert(t, got.response.Close, c.path)
+	}
+}
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -75,14 +75,11 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	e := &exchange{w: w, r: r, startedAt: timekeeper.Now()}
-	stop := g.stop.Load()
-	if stop.acceptPeriodOver(e.startedAt) {
+	g.announceStop(e)
+	if g.stop.Load().acceptPeriodOver(e.startedAt) {
 		g.reject(e, stopReason)
 		return
 	}
-	if stop != nil {
-		w.Header().Set("Connection", "close")
-	}
 	defer g.logRequest(e)
 	if active := g.active.Load(); active == nil || !g.recentlyConfirmed(active) {
 		// Other entries may have reached control. Closing the connection sends the
@@ -224,9 +221,7 @@
 		e.outcome = "cut"
 		panic(http.ErrAbortHandler)
 	}
-	if g.stop.Load() != nil {
-		e.w.Header().Set("Connection", "close")
-	}
+	g.announceStop(e)
 	g.dialect.SetRetryAfter(e.w.Header(), e.retryDelay())
 	http.Error(e.w, "not run: "+reason, http.StatusServiceUnavailable)
 }
@@ -255,6 +250,7 @@
 		e.outcome = "cut"
 		panic(http.ErrAbortHandler)
 	}
+	g.announceStop(e)
 	http.Error(e.w, "may have run: "+reason, status)
 }
 
--- a/internal/gatekeeper/stream.go
+++ b/internal/gatekeeper/stream.go
@@ -149,6 +149,7 @@
 // must not carry any of it.
 func (g *Gatekeeper) writeStreamHeader(e *exchange) {
 	e.responseStarted = true
+	g.announceStop(e)
 	g.dialect.CopyResponseHeader(e.w.Header(), e.responseHeader)
 	e.w.WriteHeader(http.StatusOK)
 }
