Forwarder: a draining entry asks clients to leave the connection

What callers saw: a client with a kept connection to a stopping entry was refused on it with every request until the process ended, up to stop-after-ms, while other entries were free. A balancer moves only new connections.

Cause: no answer of a draining entry said "Connection: close".

Ruled out: closing idle connections at SIGTERM. A request that crosses the close gets no answer.

Change: refusals of a draining entry, and answers that it completes meanwhile, carry the header. A stream that began before has sent its header already.

Before and after: TestStoppingEntryAsksToCloseConnection failed on the code before for an answer and for a refusal, and passes now (3 runs with -race).

Conclusion: a client gets at most one refusal on a connection to a stopping entry.

--- a/internal/forwarder/api.go
+++ b/internal/forwarder/api.go
@@ -63,6 +63,7 @@
 
 // handleModels lists the models and their adapters in the OpenAI format.
 func (f *Forwarder) handleModels(w http.ResponseWriter, r *http.Request) {
+	f.announceStop(w)
 	if _, apiErr := f.admitClient(r); apiErr != nil {
 		writeAPIError(w, newRequestID(r), *apiErr)
 		return
@@ -118,6 +119,7 @@
 // The returned request is never nil, so that an error can name its id.
 func (f *Forwarder) newRequest(w http.ResponseWriter, r *http.Request) (*clientRequest, *apiError) {
 	request := &clientRequest{id: newRequestID(r), startedAt: f.now(), method: r.Method, contentType: r.Header.Get("Content-Type"), accept: r.Header.Get("Accept")}
+	f.announceStop(w)
 	organisation, apiErr := f.admitClient(r)
 	if apiErr != nil {
 		return request, apiErr
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -52,6 +52,7 @@
 func (f *Forwarder) dispatch(w http.ResponseWriter, r *http.Request, request *clientRequest) {
 	if !f.begin(request.organisation) {
 		f.countOutcome(request, "refused")
+		f.announceStop(w)
 		writeAPIError(w, request.id, drainingError)
 		return
 	}
@@ -293,6 +294,7 @@
 // in metrics, objectives and the log.
 func (x *execution) complete() {
 	result := *x.result
+	x.announceStop(x.relay.w)
 	if result.Verdict == dispatcher.Answered {
 		result = x.relay.finish(result)
 	}
--- a/internal/forwarder/drain_test.go
+++ b/internal/forwarder/drain_test.go
@@ -188,3 +188,22 @@
 		})
 	}
 }
+
+// Guards against a client that keeps its connection to a stopping entry, which refuses
+// every request on it until the process ends.
+func TestStoppingEntryAsksToCloseConnection(t *testing.T) {
+	fleet := &fakeFleet{serve: answerWhole}
+	entry := fleet.newEntry(t)
+	assert.Equal(t, order(entry, strings.NewReader("two sheets")).Header().Get("Connection"), "")
+	fleet.serve = func(w http.ResponseWriter, r *http.Request, attempt messenger.AttemptRequest) {
+		ended, end := context.WithCancel(t.Context())
+		end()
+		entry.Drain(ended)
+		answerWhole(w, r, attempt)
+	}
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		w := order(entry, strings.NewReader("two sheets"))
+		assert.Equal(t, w.Code, status)
+		assert.Equal(t, w.Header().Get("Connection"), "close", "status %d", status)
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -132,6 +132,16 @@
 	f.openRequests--
 }
 
+// announceStop asks the client to send its next request over another connection if
+// the entry drains.
+func (f *Forwarder) announceStop(w http.ResponseWriter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.draining {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // Drain refuses new requests and waits until those in progress have ended or the
 // context ends. Shortly before it ends, the requests in progress are ended and their
 // clients told whether they may have run.
