Gatekeeper: a stopping entry sends clients elsewhere at once

What callers saw: a client that a stopping entry turned away was told to come back in 1.5 s, while other entries could have taken its request at once. It came back late, or too late.

Cause: all rejections told the same time, after which a group has free places again. A stop says nothing about groups.

Ruled out: another entry among those that could take it. A client that comes back opens a new connection, and the balancer sends it to an entry that is ready.

Change: a rejection because of the stop carries "Retry-After: 0".

Conclusion: being turned away by a stopping entry costs a client one round trip.

--- a/internal/gatekeeper/drain_test.go
+++ b/internal/gatekeeper/drain_test.go
@@ -42,12 +42,12 @@
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
 }
 
-// assertSentElsewhere checks a response that sends the client to another entry.
+// assertSentElsewhere checks a response that sends the client to another entry at once.
 func assertSentElsewhere(t *testing.T, response *http.Response, body string) {
 	t.Helper()
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, body, "not run: this entry stops\n")
-	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, response.Header.Get("Retry-After"), "0")
 	assert.Assert(t, response.Close)
 }
 
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -222,13 +222,15 @@
 		panic(http.ErrAbortHandler)
 	}
 	g.announceStop(e)
-	g.dialect.SetRetryAfter(e.w.Header(), e.retryDelay())
+	g.dialect.SetRetryAfter(e.w.Header(), e.retryDelay(reason))
 	http.Error(e.w, "not run: "+reason, http.StatusServiceUnavailable)
 }
 
-// retryDelay returns when a rejected client should retry.
-func (e *exchange) retryDelay() time.Duration {
+// retryDelay returns when a client that is rejected for a reason should retry.
+func (e *exchange) retryDelay(reason string) time.Duration {
 	switch {
+	case reason == stopReason:
+		return 0 // Another entry can take the request now.
 	case e.held:
 		return quarantiner.FirstHold
 	case e.endpointsReturnIn > 0:
