Gatekeeper: requests keep five sixths of a short grace

What callers saw: in trials with a grace of 2 s, streams were closed half a second before its end, a quarter of the grace, though their endpoints were at work.

Cause: the quarter of a second that the commit on the last answers reserves was the same for any grace, and comes on top of the quarter that the process needs to end.

Ruled out: no reserve. Then there is no answer at the end.

Change: the reserve is a twenty-fourth of the stop, and at most the quarter of a second that it was; from a grace of about 6 s on nothing changes.

Conclusion: a short grace is shared between requests and their last answers as a long one is.

--- a/internal/gatekeeper/drain.go
+++ b/internal/gatekeeper/drain.go
@@ -15,9 +15,13 @@
 	// minDrain is longer than the load balancer needs to miss two health checks.
 	minDrain          = 3200 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
-	// lastAnswersMargin is the time reserved at the end of a planned stop for the
+	// maxLastAnswersMargin bounds the time reserved at the end of a planned stop for the
 	// answers to the requests in flight.
-	lastAnswersMargin = 250 * time.Millisecond
+	maxLastAnswersMargin = 250 * time.Millisecond
+	// lastAnswersShare is the part of a planned stop that may be reserved for them. With
+	// the time that the process needs to end, requests keep five sixths of a grace of 2 s
+	// or more.
+	lastAnswersShare = 1.0 / 24
 	// minLimitShare is the share of its time limit that a repeatable request must have
 	// before the end of a planned stop to be accepted. Most requests end well within
 	// their limit, and an interrupted one loses only time.
@@ -37,11 +41,18 @@
 func newPlannedStop(ctx context.Context) *plannedStop {
 	s := &plannedStop{begunAt: timekeeper.Now(), endsAt: math.MaxInt64}
 	if deadline, ok := ctx.Deadline(); ok {
-		s.endsAt = s.begunAt + time.Until(deadline) - lastAnswersMargin
+		left := time.Until(deadline)
+		s.endsAt = s.begunAt + left - lastAnswersMargin(left)
 	}
 	return s
 }
 
+// lastAnswersMargin returns the time to reserve at the end of a stop with the given time
+// left.
+func lastAnswersMargin(left time.Duration) time.Duration {
+	return min(maxLastAnswersMargin, time.Duration(lastAnswersShare*float64(left)))
+}
+
 // acceptPeriodOver reports whether a request that arrives now is too late.
 func (s *plannedStop) acceptPeriodOver(now time.Duration) bool {
 	return s != nil && now-s.begunAt > drainAcceptPeriod
