--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -301,6 +301,7 @@
 // unreachable, so that it can join another one.
 func (p *Placer) HasDetached(g Group, m Member) bool { return p.hasDetached(&g, m) }
 
+// hasDetached is HasDetached for a group of this placer.
 func (p *Placer) hasDetached(g *Group, m Member) bool {
 	return g.State == Closing && g.detachedAt != 0 && m != g.Head() && p.health(m) == healthy && !p.inGroup(g, m)
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -327,3 +327,26 @@
 		assert.Equal(t, e.Report.Group, "", name)
 	}
 }
+
+// TestAnnouncementWithoutBootProvesNoLaterBoot guards against a head that counts as ended
+// since its first announcement, from another writer, lacked the boot that its answer has.
+func TestAnnouncementWithoutBootProvesNoLaterBoot(t *testing.T) {
+	tr := New()
+	tr.Update(AnnounceMsg{Now: time.Second, Endpoint: view("i-1", 0, 1, "a:1"), Report: &messenger.EndpointReport{Group: "small/9", Epoch: 9, State: "open"}})
+	tr.Update(LaterBootMsg{ID: "i-1", BootTime: 0})
+	e, _ := tr.Endpoint("i-1")
+	assert.Assert(t, !e.BootEnded)
+}
+
+// TestOvertakenReportIsIgnored guards against a head that counts as gone from its group,
+// since the answer to an earlier call arrives after that to a later one. The probe of an
+// endpoint and the call after an order may overtake each other.
+func TestOvertakenReportIsIgnored(t *testing.T) {
+	tr := New()
+	tr.Update(AnnounceMsg{Now: time.Second, Endpoint: view("i-1", 5, 1, "a:1")})
+	tr.Update(ReportMsg{Now: 2 * time.Second, ID: "i-1", BootTime: 5, Report: messenger.EndpointReport{Group: "large/7", Epoch: 7, State: "ready", Orders: 4}})
+	tr.Update(ReportMsg{Now: 2*time.Second + 50*time.Millisecond, ID: "i-1", BootTime: 5, Report: messenger.EndpointReport{Orders: 3}})
+	e, _ := tr.Endpoint("i-1")
+	assert.Equal(t, e.Report.Group, "large/7")
+	assert.Equal(t, e.Report.Orders, 4)
+}
