--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -81,6 +81,7 @@
 	s.launch(s.processes["entry-1"])
 	wg.Wait()
 	s.untilServing(1 + d.services)
+	s.untilListening(0)
 	for i := range answered {
 		for entry := range 2 {
 			r := s.order(entry, d, fmt.Sprintf("order %d", i), fmt.Sprintf("key-%d", i))
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -304,6 +305,18 @@
 	})
 }
 
+// untilListening waits until a restarted entry takes connections.
+func (s *system) untilListening(entry int) {
+	s.t.Helper()
+	s.until(fmt.Sprintf("entry %d listens", entry), func() bool {
+		conn, err := net.DialTimeout("tcp", s.entries[entry], time.Second)
+		if err != nil {
+			return false
+		}
+		return conn.Close() == nil
+	})
+}
+
 func (s *system) status() messenger.StatusReport {
 	client := transporter.NewClient()
 	for _, address := range s.controls {
