--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -21,13 +21,13 @@
 const limit = 115 * time.Second
 
 func main() {
-	rec, err := newRecord("record.txt")
-	if err != nil {
-		fmt.Println(err)
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Println("name one of the cases, and the file for its record")
 		os.Exit(2)
 	}
-	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		rec.add("name one of the cases")
+	rec, err := newRecord(os.Args[2])
+	if err != nil {
+		fmt.Println(err)
 		os.Exit(2)
 	}
 	go endEarly(rec)
