Director: a control process that stops as planned gives up a spare vote

Reads of the configuration got 503, and so did all requests with a key.

Cause: a stopped process stayed a voter until it had been silent for 3 s, and only a leader removes it. With the successor there are four voters and a quorum of three; the stopped one and the emptied disk leave two.

Ruled out, by the lines on changes of voters: that the successor had no vote (its addition is committed 0.3 s after its start), and that the emptied disk was refused (it asks to join under a new identity and finds no leader).

Change: on SIGTERM a process that is one of more voters than the declared losses need offers its vote to the leader and ends once the leader has decided, after 3 s at most. The leader commits its removal if a majority of the others is heard; it removes itself too. A voter at the minimum keeps its vote, since a restart is a planned stop as well.

Why this works: the removal is committed by the old configuration before the process ends, so that the quorum never counts a process that is known to be gone. One voter changes at a time, as before, so that successive quorums overlap.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -176,6 +176,7 @@
 	voters      []string
 	lastHeard   map[string]time.Duration
 	joiners     []string
+	stopping    bool          // stopping is set once a planned stop has begun.
 	confirmedAt time.Duration // confirmedAt is the start of the last round in which a quorum confirmed this leader.
 	lastRoundAt time.Duration // lastRoundAt is the start of the last confirmed round, through whichever leader.
 	collector   collector
--- a/internal/director/enrol.go
+++ b/internal/director/enrol.go
@@ -26,7 +26,7 @@
 func (d *Director) maintainMembership(ctx context.Context) {
 	d.mu.Lock()
 	leading, leader := d.leading, d.leader
-	leaderless := leader == "" && now()-d.fleet.lastLeaderAt > joinAfterLeaderless
+	leaderless := leader == "" && now()-d.fleet.lastLeaderAt > joinAfterLeaderless && !d.stopping
 	if leader != "" {
 		d.fleet.lastLeaderAt = now()
 	}
@@ -74,15 +74,7 @@
 
 // changeVoters proposes the next membership change, if one is due.
 func (d *Director) changeVoters(ctx context.Context) {
-	d.mu.Lock()
-	view := enroller.View{
-		Self: d.identity, Voters: slices.Clone(d.voters), Joiners: slices.Clone(d.joiners),
-		Unresponsive: map[string]bool{}, MinVoters: 2*d.cfg.ToleratedLosses + 1,
-	}
-	for _, voter := range view.Voters {
-		view.Unresponsive[voter] = now()-max(d.lastHeard[voter], d.leaderSince) > voterSilenceTimeout
-	}
-	d.mu.Unlock()
+	view := d.membership()
 	change, due := enroller.NextChange(view)
 	if !due {
 		d.mu.Lock()
@@ -90,8 +82,32 @@
 		d.mu.Unlock()
 		return
 	}
+	_ = d.proposeChange(ctx, view, change)
+}
+
+// minVoters returns the number of voters needed to tolerate the configured losses.
+func (d *Director) minVoters() int { return 2*d.cfg.ToleratedLosses + 1 }
+
+// membership returns what this leader knows of the membership.
+func (d *Director) membership() enroller.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	view := enroller.View{
+		Self: d.identity, Voters: slices.Clone(d.voters), Joiners: slices.Clone(d.joiners),
+		Unresponsive: map[string]bool{}, MinVoters: d.minVoters(),
+	}
+	for _, voter := range view.Voters {
+		view.Unresponsive[voter] = now()-max(d.lastHeard[voter], d.leaderSince) > voterSilenceTimeout
+	}
+	return view
+}
+
+// proposeChange proposes a membership change that was decided on the view, and returns once
+// it is committed. After an error it may be committed later.
+func (d *Director) proposeChange(ctx context.Context, view enroller.View, change enroller.Change) error {
 	_, err := d.propose(ctx, func(id uint64) replicator.Msg {
 		return replicator.ChangeVotersMsg{ID: id, Add: change.Add, Remove: change.Remove}
 	})
 	d.log.Info("membership change proposed", "add", change.Add, "remove", change.Remove, "voters", len(view.Voters), "err", err)
+	return err
 }
--- /dev/null
+++ b/internal/director/leave_test.go
@@ -0,0 +1,55 @@
+package director
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// addReplacement starts a control process at a new address and waits until it votes.
+func (c *cluster) addReplacement() *node {
+	l := listen(c.t, "127.0.0.1:0")
+	n := &node{t: c.t, listener: l, address: l.Addr().String(), folder: c.t.TempDir()}
+	c.nodes = append(c.nodes, n)
+	n.start(c.seeds, false)
+	c.waitUntil("the replacement is no voter", func() bool { return slices.Contains(c.voters(), n.director.identity) })
+	return n
+}
+
+// TestStoppingSpareVoterGivesUpItsVote guards against a stopped voter that raises the quorum
+// of those that run, also where the leader stops, and against one that can't return.
+func TestStoppingSpareVoterGivesUpItsVote(t *testing.T) {
+	for _, stopsLeader := range []bool{false, true} {
+		c := newCluster(t)
+		leader := c.waitForLeader()
+		c.declare(leader, "7 seven")
+		c.addReplacement()
+		leader = c.waitForLeader()
+		stopping := leader
+		if !stopsLeader {
+			stopping = c.otherNode(leader)
+		}
+		stopping.director.Drain(t.Context())
+		stopping.shutDown()
+		c.waitUntil("the stopped process still votes", func() bool {
+			voters := c.voters()
+			return len(voters) == 3 && !slices.Contains(voters, stopping.director.identity)
+		})
+		stopping.restart(c.seeds, false)
+		c.waitUntil("the process does not vote again after its start", func() bool {
+			return slices.Contains(c.voters(), stopping.director.identity)
+		})
+	}
+}
+
+// TestStoppingNeededVoterKeepsItsVote guards against a restart, which is a planned stop too,
+// that leaves two voters, so that neither may be lost until it is back.
+func TestStoppingNeededVoterKeepsItsVote(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	stopping := c.otherNode(leader)
+	stopping.director.Drain(t.Context())
+	stopping.shutDown()
+	assert.Equal(t, len(c.voters()), 3)
+}
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -21,6 +21,7 @@
 func (d *Director) RegisterHandlers(mux *http.ServeMux) {
 	transporter.Handle(mux, "POST /fleet/replicate", d.handleReplicate)
 	transporter.Handle(mux, "POST /fleet/join", d.handleJoin)
+	transporter.Handle(mux, "POST /fleet/leave", d.handleLeave)
 	transporter.Handle(mux, "POST /fleet/sync", d.Sync)
 	transporter.Handle(mux, "POST /fleet/follow", d.handleFollow)
 	transporter.Handle(mux, "POST /fleet/digest", d.handleDigest)
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -6,6 +6,10 @@
 //
 //	identity, voters := enroller.BootstrapIdentity(enroller.BootstrapConfig{Address: own, Seeds: seeds, FirstStart: true})
 //	change, due := enroller.NextChange(enroller.View{Voters: voters, Joiners: joiners, Unresponsive: unresponsive, MinVoters: 3})
+//	change, due = enroller.Departure(view, stopping)
+//
+// A voter that has stopped still counts for the quorum. Beyond MinVoters it adds no
+// tolerated loss, so it is removed as soon as it stops.
 //
 // An identity belongs to the contents of one disk. A process with an empty disk
 // gets a new identity, so that it cannot vote again under an identity whose earlier
@@ -81,6 +85,23 @@
 	return Change{}, false
 }
 
+// Departure returns the change that removes a voter that stops as planned, or false if it
+// must remain: MinVoters are needed even while some are stopped, and a majority of the
+// others must be responsive to commit the change.
+func Departure(v View, stopping string) (Change, bool) {
+	if len(v.Voters) <= v.MinVoters || !slices.Contains(v.Voters, stopping) {
+		return Change{}, false
+	}
+	responsive := 0
+	for _, voter := range v.Voters {
+		if voter != stopping && (voter == v.Self || !v.Unresponsive[voter]) {
+			responsive++
+		}
+	}
+	remaining := len(v.Voters) - 1
+	return Change{Remove: stopping}, responsive > remaining/2
+}
+
 // join returns the change that a joiner causes. A voter that the joiner replaces is
 // removed first, so that the quorum never counts a disk that is gone.
 func (v View) join(joiner string) Change {
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -58,10 +58,37 @@
 	}
 }
 
+// TestStoppingVoterLeavesOnlyIfItIsSpare guards against a stopped voter that still counts
+// for the quorum, and against a planned stop that leaves fewer voters than the losses need.
+func TestStoppingVoterLeavesOnlyIfItIsSpare(t *testing.T) {
+	fourVoters := []string{"a@1", "b@2", "c@3", "d@4"}
+	for name, c := range map[string]struct {
+		view     View
+		stopping string
+		due      bool
+	}{
+		"spare voter":                      {View{Self: "a@1", Voters: fourVoters, MinVoters: 3}, "c@3", true},
+		"spare leader":                     {View{Self: "a@1", Voters: fourVoters, MinVoters: 3}, "a@1", true},
+		"one of the others is lost":        {View{Self: "a@1", Voters: fourVoters, Unresponsive: map[string]bool{"b@2": true}, MinVoters: 3}, "c@3", true},
+		"voter at the minimum":             {View{Self: "a@1", Voters: fourVoters[:3], MinVoters: 3}, "c@3", false},
+		"no voter":                         {View{Self: "a@1", Voters: fourVoters, MinVoters: 3}, "e@5", false},
+		"the others are no majority":       {View{Self: "a@1", Voters: fourVoters, Unresponsive: map[string]bool{"b@2": true, "d@4": true}, MinVoters: 3}, "c@3", false},
+		"the leader counts itself as live": {View{Self: "a@1", Voters: fourVoters, Unresponsive: map[string]bool{"a@1": true, "d@4": true}, MinVoters: 3}, "c@3", true},
+	} {
+		change, due := Departure(c.view, c.stopping)
+		assert.Equal(t, due, c.due, name)
+		if due {
+			assert.Equal(t, change, Change{Remove: c.stopping}, name)
+		}
+	}
+}
+
 // TestMembershipHistories guards against lost quorums and stale voters. It wipes
-// disks, replaces instances and adds instances at random. At no time may there be
-// fewer than two voters (MinVoters less the one being replaced), and afterwards the
-// voters must be exactly the running instances, so never two with one address.
+// disks, replaces instances, adds instances and stops them as planned at random; a disk
+// may be lost right after such a stop. The voters that run must always be a majority. At
+// no time may there be fewer than two voters (MinVoters less the one being replaced), and
+// afterwards the voters must be exactly the running instances, so never two with one
+// address.
 func TestMembershipHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		voters := []string{"f@0", "f@1", "f@2"}
@@ -96,7 +123,7 @@
 		}
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
 			address := rapid.SampledFrom(slices.Sorted(addresses(alive))).Draw(t, "address")
-			switch rapid.IntRange(0, 2).Draw(t, "action") {
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
 			case 0:
 				alive[address] = fmt.Sprintf("w%d@%s", nextInstance, address)
 			case 1:
@@ -106,8 +133,29 @@
 				if len(alive) < 8 {
 					alive[fmt.Sprint(nextInstance)] = fmt.Sprintf("n@%d", nextInstance)
 				}
+			case 3:
+				if len(alive) <= 3 {
+					break
+				}
+				change, due := Departure(View{Self: voters[0], Voters: voters, MinVoters: 3}, alive[address])
+				if !due {
+					t.Fatalf("%s must remain a voter of %v", alive[address], voters)
+				}
+				voters = slices.DeleteFunc(slices.Clone(voters), func(v string) bool { return v == change.Remove })
+				delete(alive, address)
+				wiped := rapid.SampledFrom(slices.Sorted(addresses(alive))).Draw(t, "wiped")
+				alive[wiped] = fmt.Sprintf("w%d@%s", nextInstance, wiped)
 			}
 			nextInstance++
+			live := 0
+			for _, voter := range voters {
+				if alive[AddressOf(voter)] == voter {
+					live++
+				}
+			}
+			if live <= len(voters)/2 {
+				t.Fatalf("%d of the voters %v run, no majority", live, voters)
+			}
 			applyChanges()
 			var running []string
 			for _, identity := range alive {
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -428,6 +428,24 @@
 	Replica string `json:"replica,omitempty,omitzero"`
 }
 
+// What became of the vote; neither is set if it is not known.
+type LeaveAnswer struct {
+	// The other voters need the vote.
+	Kept bool `json:"kept,omitempty,omitzero"`
+
+	// The replica is no longer a voter.
+	Removed bool `json:"removed,omitempty,omitzero"`
+}
+
+// A control process that stops as planned offers its vote.
+type LeaveRequest struct {
+	// Hops corresponds to the JSON schema field "hops".
+	Hops int `json:"hops,omitempty,omitzero"`
+
+	// Replica corresponds to the JSON schema field "replica".
+	Replica string `json:"replica,omitempty,omitzero"`
+}
+
 // One boot of an endpoint that announced itself anew without a change.
 type Liveness struct {
 	// Born corresponds to the JSON schema field "born".
--- a/internal/runner/direct.go
+++ b/internal/runner/direct.go
@@ -66,6 +66,7 @@
 		return err
 	}
 	p.reseed = append(p.reseed, d.SetSeeds)
+	p.drainers = append(p.drainers, d)
 	d.RegisterHandlers(p.inner)
 	p.actor(ctx, d.Run)
 	if err := p.listen(ctx, s.Address, p.inner); err != nil {
