Director: the test of a spare voter's stop can't be passed by silence

The voters are read now while the process still runs and is heard. Stricter than before; the product is unchanged.

--- a/internal/director/leave_test.go
+++ b/internal/director/leave_test.go
@@ -31,11 +31,12 @@
 			stopping = c.otherNode(leader)
 		}
 		stopping.director.Drain(t.Context())
-		stopping.shutDown()
-		c.waitUntil("the stopped process still votes", func() bool {
+		// The process still runs, so that no silence removes it.
+		c.waitUntil("the stopping process still votes", func() bool {
 			voters := c.voters()
 			return len(voters) == 3 && !slices.Contains(voters, stopping.director.identity)
 		})
+		stopping.shutDown()
 		stopping.restart(c.seeds, false)
 		c.waitUntil("the process does not vote again after its start", func() bool {
 			return slices.Contains(c.voters(), stopping.director.identity)
