Director: a silent spare voter is removed after 1 s

Cause: one limit on silence for all voters. At the minimum it must be long, since a removed voter is missed; a spare one adds no loss that can be borne, raises the quorum, and asks to join again if it was only slow.

Change: while there are more voters than the declared losses need, 1 s of silence (ten heartbeats) is enough. At the minimum it stays 3 s.

Evidence: TestSilentSpareVoterIsMissedEarly fails with the limit at 3 s.

Conclusion: the window is 1 s, not gone.

--- a/internal/director/enrol.go
+++ b/internal/director/enrol.go
@@ -14,6 +14,10 @@
 	// voterSilenceTimeout is far above the heartbeat interval, also on a slow
 	// machine.
 	voterSilenceTimeout = 3 * time.Second
+	// spareSilenceTimeout applies while there are more voters than are needed: a spare
+	// voter that is gone raises the quorum of the others, and one that was only slow asks
+	// to join again.
+	spareSilenceTimeout = time.Second
 	// joinAfterLeaderless is how long a process waits without a leader before it
 	// asks to join; longer than an election takes.
 	joinAfterLeaderless = 1500 * time.Millisecond
@@ -96,8 +100,12 @@
 		Self: d.identity, Voters: slices.Clone(d.voters), Joiners: slices.Clone(d.joiners),
 		Unresponsive: map[string]bool{}, MinVoters: d.minVoters(),
 	}
+	timeout := voterSilenceTimeout
+	if len(view.Voters) > view.MinVoters {
+		timeout = spareSilenceTimeout
+	}
 	for _, voter := range view.Voters {
-		view.Unresponsive[voter] = now()-max(d.lastHeard[voter], d.leaderSince) > voterSilenceTimeout
+		view.Unresponsive[voter] = now()-max(d.lastHeard[voter], d.leaderSince) > timeout
 	}
 	return view
 }
--- a/internal/director/leave_test.go
+++ b/internal/director/leave_test.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"testing"
+	"time"
+
+	"papayaseam/internal/enroller"
 
 	"gotest.tools/v3/assert"
 )
@@ -54,3 +57,21 @@
 	stopping.shutDown()
 	assert.Equal(t, len(c.voters()), 3)
 }
+
+// TestSilentSpareVoterIsMissedEarly guards against a replaced process that was killed and
+// still counts for the quorum of the others when the next disk is lost.
+func TestSilentSpareVoterIsMissedEarly(t *testing.T) {
+	d, err := New(Config{Name: "c", Address: "1", ToleratedLosses: 1}, unresponsiveEndpoints{}, discardLogger())
+	assert.NilError(t, err)
+	d.leaderSince = now() - time.Minute
+	d.identity = "a@1"
+	d.lastHeard = map[string]time.Duration{"b@2": now(), "c@3": now() - spareSilenceTimeout, "d@4": now()}
+	d.voters = []string{"a@1", "b@2", "c@3"}
+	assert.Assert(t, !d.membership().Unresponsive["c@3"], "a voter that is needed was given up early")
+	d.voters = append(d.voters, "d@4")
+	view := d.membership()
+	assert.Assert(t, view.Unresponsive["c@3"])
+	change, due := enroller.NextChange(view)
+	assert.Assert(t, due)
+	assert.Equal(t, change, enroller.Change{Remove: "c@3"})
+}
