Director: a new leader takes departures from the log, not only from the last view

Cause: the departure is committed before it is acknowledged, but a new leader filled its table of endpoints from the view that the last leader had published, and asked the log only where it had no view. Departures applied before the election were never compared with that view. A server that leaves without a word before says nothing more, so that nothing corrects it.

Ruled out: that the leave was acknowledged before it was committed. No line told this apart, so "endpoints taken over" was added with departures-not-published.

Change: an endpoint that enters the table from the view or the log is leaving if the log has a departure of that boot. The lookup is a table now, as it is done for each endpoint of a take-over. Later boots under the same identity are not touched.

Why this works: the log of a new leader has every committed entry, and the comparison no longer depends on whether the entry was applied before or after the election, nor on the order of record and departure.

--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -40,11 +40,14 @@
 // concurrent use.
 type Cataloguer struct {
 	state      messenger.FleetState
+	departed   map[messenger.Departure]bool // departed holds state.Departures for lookups.
 	quarantine *quarantiner.Table
 }
 
 // New returns a Cataloguer with empty state.
-func New() *Cataloguer { return &Cataloguer{quarantine: quarantiner.New()} }
+func New() *Cataloguer {
+	return &Cataloguer{departed: map[messenger.Departure]bool{}, quarantine: quarantiner.New()}
+}
 
 // Quarantine returns the content that is suspected to crash endpoints. Only Update
 // and ApplyQuarantine may change it.
@@ -62,7 +65,7 @@
 // Departed reports whether the boot of an endpoint that is identified by its
 // instance and the value born announced its departure.
 func (c *Cataloguer) Departed(instance string, born int) bool {
-	return slices.Contains(c.state.Departures, messenger.Departure{Instance: instance, Born: born})
+	return c.departed[messenger.Departure{Instance: instance, Born: born}]
 }
 
 // Update applies a command and reports whether it changed the document, the
@@ -82,10 +85,7 @@
 		changed = true
 	}
 	if d := command.Departure; d != nil && !c.Departed(d.Instance, d.Born) {
-		c.state.Departures = append(c.state.Departures, *d)
-		if excess := len(c.state.Departures) - MaxDepartures; excess > 0 {
-			c.state.Departures = slices.Clone(c.state.Departures[excess:])
-		}
+		c.addDeparture(*d)
 		changed = true
 	}
 	if command.Traffic && !c.state.Traffic {
@@ -101,6 +101,20 @@
 	return changed
 }
 
+// addDeparture stores a departure and drops the oldest ones above MaxDepartures.
+func (c *Cataloguer) addDeparture(d messenger.Departure) {
+	c.state.Departures = append(c.state.Departures, d)
+	c.departed[d] = true
+	excess := len(c.state.Departures) - MaxDepartures
+	if excess <= 0 {
+		return
+	}
+	for _, dropped := range c.state.Departures[:excess] {
+		delete(c.departed, dropped)
+	}
+	c.state.Departures = slices.Clone(c.state.Departures[excess:])
+}
+
 // ApplyQuarantine brings the quarantine of a process without a log up to date with
 // that of another process.
 func (c *Cataloguer) ApplyQuarantine(changes messenger.QuarantineChanges) {
@@ -140,6 +154,7 @@
 // Restore replaces the state with that of a snapshot; empty data resets it.
 func (c *Cataloguer) Restore(data []byte) error {
 	c.state = messenger.FleetState{}
+	c.departed = map[messenger.Departure]bool{}
 	c.quarantine = quarantiner.New()
 	if len(data) == 0 {
 		return nil
@@ -147,6 +162,9 @@
 	if err := json.Unmarshal(data, &c.state); err != nil {
 		return errors.Wrap(err, "decode the snapshot; remove the data folder and let the process rejoin")
 	}
+	for _, d := range c.state.Departures {
+		c.departed[d] = true
+	}
 	if c.state.Quarantine != nil {
 		c.ApplyQuarantine(*c.state.Quarantine)
 		c.state.Quarantine = nil
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -162,9 +162,14 @@
 	if len(endpoints) == 0 {
 		endpoints = d.state.Endpoints()
 	}
+	unpublished := 0
 	for _, view := range endpoints {
+		if !view.Leaving && d.state.Departed(view.Instance, view.Born) {
+			unpublished++
+		}
 		d.trackRecordedEndpoint(view)
 	}
+	d.log.Info("endpoints taken over", "endpoints", len(endpoints), "inherited", f.inherited, "departures-not-published", unpublished)
 	f.notifyWaiters()
 }
 
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -269,11 +269,13 @@
 	}
 }
 
-// trackRecordedEndpoint adds an endpoint from the log to the endpoint table, with a
-// sequence number below any of its own announcements, which take precedence. The
-// caller holds mu.
+// trackRecordedEndpoint adds an endpoint from the log or from the last leader's view to
+// the endpoint table, with a sequence number below any of its own announcements, which
+// take precedence. A departure in the log holds whatever that view says: it may have been
+// acknowledged after the view was published. The caller holds mu.
 func (d *Director) trackRecordedEndpoint(view messenger.EndpointView) {
 	view.Sequence = -1
+	view.Leaving = view.Leaving || d.state.Departed(view.Instance, view.Born)
 	d.tracker().Update(tracker.AnnounceMsg{Now: now(), Endpoint: view})
 }
 
