Director: a leader that has not settled tells entries of departures

What callers may see: requests to a server that has left, for as long as a new leader waits for the reports of others. A leader that inherited groups publishes nothing until it has settled, 0.7 s after its election at the least and 3 s at the most where some engine does not answer; the declared time that a server serves on is 2 s.

Cause: the departure is in the leader's table at once, but entries get it with the leader's first plan.

Change: until it has settled, a leader that inherited a whole view publishes that view with the departed endpoints marked as leaving, and nothing else of its own: groups, loads and control processes stay as inherited. It does so under a confirmed lease only, as for plans, and not at all while there is nothing to tell.

--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -119,6 +119,27 @@
 	}
 }
 
+// publishDepartures marks leaving endpoints in the view that this leader inherited. Its
+// own view comes only once it has settled, which may take longer than an endpoint serves
+// after it has announced its departure. The caller holds mu.
+func (d *Director) publishDepartures() {
+	f := &d.fleet
+	endpoints := f.viewer.Endpoints()
+	changed := false
+	for i, view := range endpoints {
+		e, ok := f.tracker.Endpoint(view.Instance)
+		if ok && e.View.Born == view.Born && e.View.Leaving && !view.Leaving {
+			endpoints[i].Leaving = true
+			changed = true
+		}
+	}
+	if !changed || !d.mayAct() {
+		return
+	}
+	f.viewer.Update(viewer.PublishMsg{Term: f.term, Endpoints: endpoints, Groups: f.viewer.Groups(), Controls: f.viewer.Controls()})
+	f.notifyWaiters()
+}
+
 // groupViews returns all groups, sorted by service. The caller holds mu.
 func (d *Director) groupViews() []messenger.GroupView {
 	var views []messenger.GroupView
@@ -175,7 +196,7 @@
 
 // plan runs the placers on a leader that has settled and holds a lease from a
 // quorum. Before it has settled, a leader that inherited no groups only observes
-// which groups exist.
+// which groups exist, and one that inherited some only tells of departures.
 func (d *Director) plan(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -185,6 +206,7 @@
 	}
 	settled := d.settled()
 	if !settled && f.inherited {
+		d.publishDepartures()
 		return
 	}
 	if settled && !d.mayAct() {
