Placer: loads of an earlier leader are counted, not listed

Cause: a new leader assumes that an earlier one has just begun as many loads as the store allows, and listed these loads one by one. The declared number was the length of a list.

Ruled out: the decoding and the log. The panic is in the placer's option (makeslice: len out of range; for -1 "cannot be negative").

Change: the number and the time are kept. The order of loads and limits stays as it was for every limit that could be listed.

Why this works: nothing is allocated by a declared number here, and the comparison with the limit is done in floating point, where any number is defined.

Conclusion: fixed.

--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -273,7 +273,7 @@
 func (d *Director) placerOptions(service describer.Service) []placer.Option {
 	options := []placer.Option{placer.WithStallTimeout(d.cfg.GroupStallTimeout)}
 	if d.state.HasServedTraffic() {
-		options = append(options, placer.WithPreviousLeaderLoads(int(service.Engine.MaxLoadsPerSec), now()))
+		options = append(options, placer.WithPreviousLeaderLoads(service.Engine.MaxLoadsPerSec, now()))
 	}
 	return options
 }
--- a/internal/placer/options.go
+++ b/internal/placer/options.go
@@ -1,7 +1,7 @@
 package placer
 
 import (
-	"slices"
+	"math"
 	"time"
 )
 
@@ -21,7 +21,8 @@
 	retryInterval    time.Duration
 	stallTimeout     time.Duration
 	loadWindow       time.Duration
-	previousLoads    []time.Duration
+	previousLoads    float64
+	previousLoadsAt  time.Duration
 }
 
 func defaults() options {
@@ -34,11 +35,12 @@
 // Option configures a Placer.
 type Option func(*options)
 
-// WithPreviousLeaderLoads counts n loads that a previous leader may have started up
-// to the given time, so that both leaders together stay within the weight store's
-// limit.
-func WithPreviousLeaderLoads(n int, startedAt time.Duration) Option {
-	return func(o *options) { o.previousLoads = slices.Repeat([]time.Duration{startedAt}, n) }
+// WithPreviousLeaderLoads counts the loads that a previous leader may have started up to
+// the given time under a limit per second, so that both leaders together stay within it.
+func WithPreviousLeaderLoads(maxPerSec float64, startedAt time.Duration) Option {
+	return func(o *options) {
+		o.previousLoads, o.previousLoadsAt = math.Floor(max(maxPerSec, 0)), startedAt
+	}
 }
 
 // WithUnreachableAfter sets how long an endpoint must not have responded to count
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -170,7 +170,7 @@
 	groups       map[string]*Group
 	ended        map[string]bool          // ended holds the names of released groups, which are not adopted again.
 	pendingLoads map[string]pendingLoad   // pendingLoads maps instances to the load that was ordered from them.
-	loadStarts   []time.Duration          // loadStarts are the recent starts of loads from the weight store.
+	loadStarts   []time.Duration          // loadStarts are the recent starts of loads from the weight store by this leader.
 	lastModels   map[Member]string        // lastModels maps endpoint processes to the model of the last group that they were ready in.
 	preemptedAt  map[string]time.Duration // preemptedAt maps fabric domains to the time at which a group there was last preempted.
 	msg          PlanMsg
@@ -185,7 +185,6 @@
 	for _, opt := range opts {
 		opt(&p.options)
 	}
-	p.loadStarts = p.options.previousLoads
 	return p
 }
 
--- a/internal/placer/scale_test.go
+++ b/internal/placer/scale_test.go
@@ -87,7 +87,7 @@
 	before := c.loadCount
 	c.run(2 * planInterval)
 	c.term++
-	c.placer = New(c.term, WithStallTimeout(stallLimit), WithPreviousLeaderLoads(int(testEngine.MaxLoadsPerSec), c.now))
+	c.placer = New(c.term, WithStallTimeout(stallLimit), WithPreviousLeaderLoads(testEngine.MaxLoadsPerSec, c.now))
 	c.run(time.Second - 3*planInterval)
 	assert.Assert(t, c.loadCount-before > 0)
 	assert.Assert(t, c.loadCount-before <= int(testEngine.MaxLoadsPerSec), "%d loads in one second", c.loadCount-before)
--- a/internal/placer/stage.go
+++ b/internal/placer/stage.go
@@ -11,10 +11,15 @@
 )
 
 // recentLoads drops load starts older than the load window and returns the number
-// left.
-func (p *Placer) recentLoads() int {
-	p.loadStarts = slices.DeleteFunc(p.loadStarts, func(startedAt time.Duration) bool { return p.msg.Now-startedAt > p.options.loadWindow })
-	return len(p.loadStarts)
+// left, with those of a previous leader.
+func (p *Placer) recentLoads() float64 {
+	isOld := func(startedAt time.Duration) bool { return p.msg.Now-startedAt > p.options.loadWindow }
+	p.loadStarts = slices.DeleteFunc(p.loadStarts, isOld)
+	recent := float64(len(p.loadStarts))
+	if !isOld(p.options.previousLoadsAt) {
+		recent += p.options.previousLoads
+	}
+	return recent
 }
 
 // stageModels orders hosts to load a model that they may serve next, in the
@@ -73,7 +78,7 @@
 // rate is still bounded, so that loads that start as the first requests arrive stay
 // within the limit.
 func (p *Placer) storeLimitReached() bool {
-	recent := float64(p.recentLoads() + 1)
+	recent := p.recentLoads() + 1
 	if !p.msg.hasTraffic() {
 		return recent > preTrafficLoadFactor*p.msg.Engine.MaxLoadsPerSec
 	}
