Configuration: numbers that never bind can't overflow; negative ones are refused

What callers would see: a route whose timeout_ms is, say, 1e15 answers nothing. The conversion to nanoseconds overflows, to a negative time on x86-64 and to the greatest one on arm64, and the latter plus the present is long past.

Weights and shares are kept, as only their ratio counts; a sum of weights that overflows is refused, and shares whose sum is no number are taken as equal. Negative counts, rates and times of a service are refused with their name and remedy; before they were acknowledged and gave a service that never loads. The document that operators read back is not changed.

--- a/internal/describer/describer.go
+++ b/internal/describer/describer.go
@@ -14,6 +14,7 @@
 package describer
 
 import (
+	"math"
 	"net"
 	"strings"
 	"time"
@@ -135,6 +136,9 @@
 func (c *Configuration) Check() error {
 	services := map[string]bool{}
 	for _, service := range c.Services {
+		if err := service.checkNumbers(); err != nil {
+			return err
+		}
 		services[service.Name] = true
 	}
 	hostPrefixes := map[string]bool{}
@@ -162,6 +166,9 @@
 		if split.Weight < 0 {
 			return invalid("route %q has a negative weight; use 0 or more", r.Name)
 		}
+		if split.Weight > math.MaxInt-totalWeight {
+			return invalid("the weights of route %q add up to more than %d; use smaller ones", r.Name, math.MaxInt)
+		}
 		totalWeight += split.Weight
 	}
 	switch {
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -173,7 +173,7 @@
 	for _, m := range p.msg.Engine.Models {
 		total += m.InitialShare
 	}
-	if total <= 0 {
+	if total <= 0 || math.IsInf(total, 0) {
 		return 1 / float64(max(len(p.msg.Engine.Models), 1))
 	}
 	return model.InitialShare / total
--- a/internal/placer/stage.go
+++ b/internal/placer/stage.go
@@ -207,13 +207,13 @@
 	ratio := counts.ratios[model.Name]
 	missingCopies := model.GroupSize - counts.warmHosts[key]%model.GroupSize
 	missingHosts := max(model.GroupSize-counts.healthyHosts[domain], 0)
-	timeToForm := model.ColdLoadTime + time.Duration(missingHosts)*replacementTime
+	secondsToForm := model.ColdLoadTime.Seconds() + float64(missingHosts)*replacementTime.Seconds()
 	benefit := max(sufficientRatio-ratio, minDeficit) * size / float64(missingCopies)
 	if counts.spareHosts[key] < min(counts.groupCounts[key], maxSpares) {
 		ratioAfterLoss := ratio - size/max(p.targetInstances(model), 1)
 		benefit = max(benefit, memberLossProbability*size*max(sufficientRatio-ratioAfterLoss, minDeficit))
 	}
-	return benefit / timeToForm.Seconds()
+	return benefit / secondsToForm
 }
 
 // maxSpares limits the spare hosts that a fabric domain keeps for the groups of one
