Gatekeeper: a configuration with an empty list of tenants still requires keys

Cause: an entry asked for a key where the list of organisations was not empty.

Ruled out: that entries kept the earlier configuration; that one refuses a key that no configuration ever held, and such requests ran.

Entries ask for a key, and for a confirmed configuration, where that is set.

Why this works: the condition no longer depends on the content of the list, so that no removal can turn it off.

--- a/internal/describer/describer.go
+++ b/internal/describer/describer.go
@@ -124,6 +124,7 @@
 	Version       int
 	Routes        []Route
 	Services      []Service
+	RequiresKeys  bool // RequiresKeys is set if requests to routes that are not public need the key of an organisation, even where none is declared.
 	Organisations []Organisation
 	Limits        Limits
 
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -43,6 +43,7 @@
 			{Name: "once", Host: "a.example", Prefix: "/once/", Kind: describer.KindStreaming, Timeout: 4 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2, Splits: splits("writers")},
 		},
 		Services:      []describer.Service{{Name: "desk"}, {Name: "writers", Engine: &describer.Engine{Slots: 8, Models: []describer.Model{model}}}},
+		RequiresKeys:  true,
 		Organisations: []describer.Organisation{{Name: "press", Keys: []string{"k1"}}},
 		Limits:        describer.Limits{MaxBodyBytes: 1000},
 	}, nil
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -119,7 +119,7 @@
 	e.route = route
 	e.metadata = g.dialect.ParseRequest(e.r)
 	e.lastEventID = e.metadata.LastEventID
-	if !route.Public && len(config.Organisations) > 0 {
+	if !route.Public && config.RequiresKeys {
 		if g.expired(active) {
 			g.reject(e, "the configuration was not confirmed of late")
 			return false
