Describer: an empty key matches nobody

What callers would see: with "api_keys": [""] declared, a request without a key runs as that organisation's.

Cause: a request without a key is looked up with the empty string, and so matched.

Change: an empty key belongs to nobody, also if it is declared.

--- a/internal/describer/describer.go
+++ b/internal/describer/describer.go
@@ -235,10 +235,11 @@
 	return c.Routes[longest], true
 }
 
-// Organisation returns the organisation that owns an API key.
+// Organisation returns the organisation that owns an API key. An empty key, which stands
+// for a request without one, belongs to nobody, also if it is declared.
 func (c *Configuration) Organisation(key string) (Organisation, bool) {
 	i, ok := c.organisationByKey[key]
-	if !ok {
+	if !ok || key == "" {
 		return Organisation{}, false
 	}
 	return c.Organisations[i], true
