Transporter: inner answers under way hold a bounded amount together

Cause here: heads (64 KiB), servers' bodies (16 MiB each, 32 MiB together), events and reports were bounded. Answers to calls between our own processes were bounded at 64 MiB each and not together, and an address of ours may be another process's by now.

Ruled out, by the tests: heads, interim answers, trailers and chunk framing without an end are cut at 64 KiB or at a few KiB; seventeen forms over real connections.

Change: what the answers that a client decodes hold beyond 64 KiB each comes from one pool of 32 MiB, and one message may have 32 MiB. A call that gets nothing from the pool fails as broken. A configuration may have 16 MiB when packed, so that what is accepted fits the messages that carry it; more is refused as invalid with its remedy.

Why this works: the bound is on what is held at once, whatever the number of calls, and far below the 128 MB that the target allows a control process.

--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -23,8 +23,13 @@
 // document from exhausting the memory of a process (a decompression bomb).
 const MaxBytes = 32 << 20
 
-// ErrTooLarge means that a document exceeds MaxBytes; declare fewer routes.
-var ErrTooLarge = errors.New("the document is longer than 32 MiB; declare fewer routes")
+// MaxPackedBytes is the maximum size of a packed document. The messages between processes
+// that carry it, encoded once more, stay within their bound.
+const MaxPackedBytes = 16 << 20
+
+// ErrTooLarge means that a document exceeds MaxBytes, or MaxPackedBytes when packed;
+// declare fewer routes.
+var ErrTooLarge = errors.New("the document is longer than 32 MiB, or 16 MiB when packed; declare fewer routes")
 
 // ErrCorrupt means that the input is not a valid packed document; declare the
 // document again.
@@ -43,6 +48,9 @@
 	if err := w.Close(); err != nil {
 		return "", errors.Wrap(err, "pack the document")
 	}
+	if base64.StdEncoding.EncodedLen(b.Len()) > MaxPackedBytes {
+		return "", ErrTooLarge
+	}
 	return base64.StdEncoding.EncodeToString(b.Bytes()), nil
 }
 
--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -54,3 +55,17 @@
 	_, err := Pack(make([]byte, MaxBytes+1))
 	assert.Assert(t, errors.Is(err, ErrTooLarge))
 }
+
+// TestDocumentThatPacksBadlyIsTooLarge guards against a document that is accepted and whose
+// messages are then cut at their bound.
+func TestDocumentThatPacksBadlyIsTooLarge(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	document := make([]byte, MaxPackedBytes)
+	for i := range document {
+		document[i] = byte(random.Uint32())
+	}
+	_, err := Pack(document)
+	assert.Assert(t, errors.Is(err, ErrTooLarge))
+	_, err = Pack(make([]byte, MaxBytes))
+	assert.NilError(t, err)
+}
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -27,8 +27,13 @@
 	idleTimeout    = 30 * time.Second
 	idlePerHost    = 64
 	headerTimeout  = 10 * time.Second
-	maxInnerBytes  = 64 << 20
 	maxHeaderBytes = 64 << 10
+	// maxInnerBytes bounds one inner message. It is above the largest packed document and
+	// the snapshot around it, each encoded once more.
+	maxInnerBytes = 32 << 20
+	// innerPoolBytes bounds the inner answers under way together, beyond freeBytes each:
+	// far below what the target allows a control process in all, 128 MB.
+	innerPoolBytes = 32 << 20
 )
 
 // ErrUnreachable means that no connection could be made, so that no byte of
@@ -54,8 +59,12 @@
 	return http.StatusText(e.Status) + ": " + e.Body
 }
 
-// Client sends inner messages.
-type Client struct{ http *http.Client }
+// Client sends inner messages. The answers that it decodes at a time hold a bounded
+// amount of memory together.
+type Client struct {
+	http    *http.Client
+	answers *Pool
+}
 
 // NewClient returns a client that keeps connections open between calls.
 func NewClient(opts ...ClientOption) *Client {
@@ -63,12 +72,16 @@
 	for _, opt := range opts {
 		opt(transport)
 	}
-	return &Client{http: &http.Client{Transport: transport}}
+	return newClient(transport)
 }
 
 // NewOneShotClient returns a client that opens a connection for each call, for
 // calls that the HTTP library must never replay.
-func NewOneShotClient() *Client { return &Client{http: &http.Client{Transport: newTransport(false)}} }
+func NewOneShotClient() *Client { return newClient(newTransport(false)) }
+
+func newClient(transport http.RoundTripper) *Client {
+	return &Client{http: &http.Client{Transport: transport}, answers: NewPool(innerPoolBytes)}
+}
 
 func newTransport(keepAlive bool) *http.Transport {
 	return &http.Transport{
@@ -147,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	return decode(response, out)
+	return c.decode(response, out)
 }
 
 // Get fetches a JSON answer into out.
@@ -160,12 +173,14 @@
 	if err != nil {
 		return err
 	}
-	return decode(response, out)
+	return c.decode(response, out)
 }
 
-func decode(response *http.Response, out any) error {
+func (c *Client) decode(response *http.Response, out any) error {
+	body := pooledReader{body: response.Body, pool: c.answers, left: maxInnerBytes}
+	defer body.release()
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxInnerBytes)).Decode(out); err != nil {
+	if err := json.NewDecoder(&body).Decode(out); err != nil {
 		return errors.Mark(errors.Wrap(err, "decode the answer"), ErrBroken)
 	}
 	discard(response.Body)
--- a/internal/transporter/whole.go
+++ b/internal/transporter/whole.go
@@ -67,6 +67,40 @@
 	}
 }
 
+// pooledReader reads a body for a decoder that keeps what it has read. Beyond freeBytes,
+// what was read is held in the pool until release. It returns ErrEndless once left bytes
+// were read, and ErrHeld where the pool is empty.
+type pooledReader struct {
+	body io.Reader
+	pool *Pool
+	left int
+	read int
+	held int
+}
+
+func (r *pooledReader) Read(data []byte) (int, error) {
+	if r.left == 0 {
+		return 0, ErrEndless
+	}
+	data = data[:min(len(data), r.left)]
+	if need := r.read + len(data) - freeBytes - r.held; need > 0 {
+		if !r.pool.reserve(need) {
+			return 0, ErrHeld
+		}
+		r.held += need
+	}
+	n, err := r.body.Read(data)
+	r.left -= n
+	r.read += n
+	return n, err
+}
+
+// release gives back what the body held.
+func (r *pooledReader) release() {
+	r.pool.Release(r.held)
+	r.held = 0
+}
+
 func (p *Pool) reserve(n int) bool {
 	if p.left.Add(int64(-n)) >= 0 {
 		return true
