Supervisor: the answers of running attempts hold a bounded amount together

What callers would see (the same report, the product's own path): an engine that answers without an end fills the memory of its side process, 16 MiB for each attempt under way, and the attempts of other clients there end with it.

Cause: a bound for each attempt and none for all of them; an engine runs dozens at once.

Change: the data of running attempts comes from one pool of 32 MiB, twice what a single one may have. An attempt that gets nothing from it ends as before at its own bound ("answer-too-long", may have run). What an attempt held is given back when it ends; from then on the bound on retained answers counts it. Nothing is appended to an attempt that has ended, which its length and digest would not cover.

--- a/internal/supervisor/attempt.go
+++ b/internal/supervisor/attempt.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/transporter"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -21,12 +22,13 @@
 	status      int           // status is the HTTP status of the response, 0 before its header arrives.
 	contentType string
 	data        []byte
+	pool        *transporter.Pool // pool holds the bytes of data until the attempt has ended.
 	started     bool
 	final       *messenger.Frame // final is the last frame, nil until the attempt has ended.
 }
 
-func newAttempt(request messenger.AttemptRequest) *attempt {
-	return &attempt{request: request, changed: make(chan struct{})}
+func newAttempt(request messenger.AttemptRequest, pool *transporter.Pool) *attempt {
+	return &attempt{request: request, pool: pool, changed: make(chan struct{})}
 }
 
 // notify wakes all readers after a change. The caller must hold mu.
@@ -46,11 +48,12 @@
 }
 
 // appendData appends a part of the response body. It returns false and appends
-// nothing if the body would exceed maxResponseBytes.
+// nothing if the body would exceed maxResponseBytes, or all running attempts together the
+// pool, or if the attempt has ended.
 func (a *attempt) appendData(data []byte) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.data)+len(data) > maxResponseBytes {
+	if a.final != nil || len(a.data)+len(data) > maxResponseBytes || !a.pool.Reserve(len(data)) {
 		return false
 	}
 	a.data = append(a.data, data...)
@@ -78,6 +81,7 @@
 	frame.Length = len(a.data)
 	frame.Digest = digest(a.data)
 	a.final = &frame
+	a.pool.Release(len(a.data))
 	a.notify()
 	return true
 }
--- a/internal/supervisor/execute.go
+++ b/internal/supervisor/execute.go
@@ -204,7 +204,7 @@
 	for first := true; ; first = false {
 		n, err := body.Read(buffer)
 		if n > 0 && !a.appendData(buffer[:n]) {
-			return messenger.Frame{Verdict: "may-have-run", Kind: "answer-too-long", Message: "the answer is longer than an attempt may keep"}
+			return messenger.Frame{Verdict: "may-have-run", Kind: "answer-too-long", Message: "the answer is longer than an attempt, or all attempts under way together, may keep"}
 		}
 		if n > 0 && first {
 			s.recordFirstToken(s.now() - call.startTime)
--- a/internal/supervisor/serve.go
+++ b/internal/supervisor/serve.go
@@ -181,7 +181,7 @@
 	if known, ok := s.attempts[request.Attempt]; ok {
 		return known
 	}
-	a := newAttempt(request)
+	a := newAttempt(request, s.responses)
 	now := s.now()
 	if request.Index > s.syncer.Index() {
 		s.syncer.Poke()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -42,7 +42,8 @@
 	probeTimeout          = 500 * time.Millisecond
 	heartbeatInterval     = time.Second
 	maxResponseBytes      = 16 << 20
-	controlSilenceTimeout = 5 * time.Second // controlSilenceTimeout is how long control may be silent before this process counts as isolated.
+	responsePoolBytes     = 2 * maxResponseBytes // responsePoolBytes bounds the responses of running attempts together.
+	controlSilenceTimeout = 5 * time.Second      // controlSilenceTimeout is how long control may be silent before this process counts as isolated.
 	returnNoticeTries     = 30
 	effectQueueSize       = 1024
 	endedQueueSize        = 1024
@@ -79,6 +80,7 @@
 	granter          *granter.Machine
 	admitter         *admitter.Machine
 	attempts         map[string]*attempt
+	responses        *transporter.Pool
 	retained         []*attempt // retained holds the ended attempts whose responses are still available, oldest first.
 	retainedBytes    int
 	announcement     messenger.Announcement  // announcement is the endpoint's last one; it is empty while the endpoint is down.
@@ -97,7 +99,7 @@
 	s := &Supervisor{
 		cfg: cfg, log: logger, health: health, oneShotClient: transporter.NewOneShotClient(),
 		tokenIssuer: admitter.NewTokenIssuer(uuid.NewString()[:8]), startTime: time.Now(), effects: make(chan any, effectQueueSize),
-		ended: make(chan string, endedQueueSize), attempts: map[string]*attempt{},
+		ended: make(chan string, endedQueueSize), attempts: map[string]*attempt{}, responses: transporter.NewPool(responsePoolBytes),
 	}
 	s.client = transporter.NewClient(transporter.WithLost(s.enqueueConnectionLost))
 	s.granter = granter.New(cfg.Name, 0, granter.WithDrain(cfg.DrainTimeout))
--- a/internal/transporter/whole.go
+++ b/internal/transporter/whole.go
@@ -44,7 +44,7 @@
 		if len(data) == cap(data) {
 			grow := cap(data)
 			if cap(data)+grow > freeBytes {
-				if !p.reserve(grow) {
+				if !p.Reserve(grow) {
 					p.Release(held)
 					return nil, 0, ErrHeld
 				}
@@ -84,7 +84,7 @@
 	}
 	data = data[:min(len(data), r.left)]
 	if need := r.read + len(data) - freeBytes - r.held; need > 0 {
-		if !r.pool.reserve(need) {
+		if !r.pool.Reserve(need) {
 			return 0, ErrHeld
 		}
 		r.held += need
@@ -101,7 +101,8 @@
 	r.held = 0
 }
 
-func (p *Pool) reserve(n int) bool {
+// Reserve takes bytes, to be given back by Release, or reports that there are not enough.
+func (p *Pool) Reserve(n int) bool {
 	if p.left.Add(int64(-n)) >= 0 {
 		return true
 	}
