Transporter: a redirect is an answer, and a failed dial alone proves nothing

Where the entry can't reach the Location, the order runs on another server too and its client is told 503, "not run"; where it can, a server gets a GET that nobody sent, and the answer to that is returned.

Cause: the HTTP library follows redirects by itself, and "nothing was sent" was taken from the kind of the error, a failed dial, which was the dial to the Location. The library also repeats safe requests whose connection broke, with the same effect.

Ruled out: a retry of ours; no code of ours builds the GET.

Change: no client follows a redirect, but the command line's, which control redirects to its leader. A failed dial is ErrUnreachable only if no connection was opened for the request.

Why this works: the answer of the one connection on which a request went out is what the client gets, and "not run" rests on the connections, not on an error's kind.

--- a/internal/commander/quickstart.go
+++ b/internal/commander/quickstart.go
@@ -178,7 +178,7 @@
 }
 
 func (q *quickstart) submit(ctx context.Context, ticket messenger.Ticket) error {
-	client := transporter.NewClient()
+	client := transporter.NewOperatorClient()
 	for {
 		var answer messenger.CommandAnswer
 		err := client.Call(ctx, "http://"+q.control+"/v1/tickets", ticket, &answer)
--- a/internal/commander/report.go
+++ b/internal/commander/report.go
@@ -35,7 +35,7 @@
 	}
 	var status messenger.StatusReport
 	err := anyControl(ctx, c, func(ctx context.Context, base string) error {
-		return transporter.NewClient().Get(ctx, base+"/v1/status", &status)
+		return transporter.NewOperatorClient().Get(ctx, base+"/v1/status", &status)
 	})
 	if err != nil {
 		return err
@@ -59,7 +59,7 @@
 }
 
 func gather(ctx context.Context, addresses map[string]string) (histories []messenger.BurnHistory, missing []string) {
-	client := transporter.NewClient()
+	client := transporter.NewOperatorClient()
 	for name, address := range addresses {
 		call, cancel := context.WithTimeout(ctx, tryTimeout)
 		var history messenger.BurnHistory
--- a/internal/commander/status.go
+++ b/internal/commander/status.go
@@ -28,7 +28,7 @@
 		Action: func(ctx context.Context, c *cli.Command) error {
 			var report messenger.StatusReport
 			err := anyControl(ctx, c, func(ctx context.Context, base string) error {
-				return transporter.NewClient().Get(ctx, base+"/v1/status", &report)
+				return transporter.NewOperatorClient().Get(ctx, base+"/v1/status", &report)
 			})
 			if err != nil {
 				return err
@@ -99,7 +99,7 @@
 					return errors.Wrap(ErrUsage, "name the side process's address")
 				}
 				var state messenger.ProcessState
-				err := transporter.NewClient().Call(ctx, "http://"+c.Args().First()+"/v1/retire", struct{}{}, &state)
+				err := transporter.NewOperatorClient().Call(ctx, "http://"+c.Args().First()+"/v1/retire", struct{}{}, &state)
 				if err != nil {
 					return err
 				}
--- a/internal/commander/ticket.go
+++ b/internal/commander/ticket.go
@@ -109,7 +109,7 @@
 	var answer messenger.CommandAnswer
 	err = anyControl(ctx, c, func(ctx context.Context, base string) error {
 		answer = messenger.CommandAnswer{}
-		if err := transporter.NewClient().Call(ctx, base+"/v1/tickets", ticket, &answer); err != nil {
+		if err := transporter.NewOperatorClient().Call(ctx, base+"/v1/tickets", ticket, &answer); err != nil {
 			return err
 		}
 		if answer.Kind == controller.FailedNoLeader || answer.Kind == controller.FailedOutcomeUnknown {
@@ -160,7 +160,7 @@
 func fetchTicket(ctx context.Context, c *cli.Command, number int) (messenger.TicketState, error) {
 	var state messenger.TicketState
 	err := anyControl(ctx, c, func(ctx context.Context, base string) error {
-		return transporter.NewClient().Get(ctx, fmt.Sprintf("%s/v1/tickets/%d", base, number), &state)
+		return transporter.NewOperatorClient().Get(ctx, fmt.Sprintf("%s/v1/tickets/%d", base, number), &state)
 	})
 	return state, err
 }
@@ -183,7 +183,7 @@
 func listTickets(ctx context.Context, c *cli.Command, stdout io.Writer) error {
 	var states []messenger.TicketState
 	err := anyControl(ctx, c, func(ctx context.Context, base string) error {
-		return transporter.NewClient().Get(ctx, fmt.Sprintf("%s/v1/tickets?last=%d", base, c.Int("last")), &states)
+		return transporter.NewOperatorClient().Get(ctx, fmt.Sprintf("%s/v1/tickets?last=%d", base, c.Int("last")), &states)
 	})
 	if err != nil {
 		return err
@@ -210,7 +210,7 @@
 	}
 	var response messenger.SyncResponse
 	err = anyControl(ctx, c, func(ctx context.Context, base string) error {
-		return transporter.NewClient().Get(ctx, base+"/v1/objects", &response)
+		return transporter.NewOperatorClient().Get(ctx, base+"/v1/objects", &response)
 	})
 	if err != nil {
 		return err
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -79,7 +79,7 @@
 }
 
 func (testDialect) CopyResponseHeader(out, in http.Header) {
-	for _, name := range []string{"Attempt", "Signature", "Content-Type"} {
+	for _, name := range []string{"Attempt", "Signature", "Content-Type", "Location"} {
 		out.Set(name, in.Get(name))
 	}
 }
@@ -233,7 +233,8 @@
 	for i := 0; i < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
-	response, err := http.DefaultClient.Do(r)
+	client := http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	response, err := client.Do(r)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -114,7 +114,7 @@
 	defer func() { _ = os.RemoveAll(folder) }()
 	ctx, cancel := context.WithCancel(ctx)
 	s := &system{
-		size: size, binary: binary, folder: folder, client: transporter.NewClient(),
+		size: size, binary: binary, folder: folder, client: transporter.NewOperatorClient(),
 		ended: make(chan error, 2*size.Sides),
 	}
 	defer s.stop(cancel)
--- a/internal/transporter/connection.go
+++ b/internal/transporter/connection.go
@@ -25,7 +25,7 @@
 
 // Opened reports whether a connection was obtained. The HTTP library may replay a
 // request that was sent, so a failure to connect proves that nothing was sent only if
-// none was.
+// none was; errors are marked ErrUnreachable only then.
 func (c *Connection) Opened() bool { return c.conn != nil }
 
 // SentAt returns when the request began to be written, by the clock of timekeeper; 0 if
@@ -49,7 +49,8 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connection.conn, connection.reused, connection.sentAt = info.Conn, info.Reused, timekeeper.Now()
 	}}
-	response, err := c.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	err = classify(err, connection.Opened())
 	if err == nil && response.StatusCode < http.StatusOK {
 		connection.Abandon()
 		_ = response.Body.Close()
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -48,7 +48,7 @@
 // outcome is not known.
 var ErrBroken = errors.New("the exchange broke; its outcome is not known")
 
-// StatusError is an answer with a status of 400 or above.
+// StatusError is an answer with a status of 300 or above.
 type StatusError struct {
 	Status int
 	Body   string
@@ -79,8 +79,17 @@
 // calls that the HTTP library must never replay.
 func NewOneShotClient() *Client { return newClient(newTransport(false)) }
 
+// NewOperatorClient returns a client for the calls of an operator, which control redirects
+// to its leader. All other clients follow no redirect: it is an answer like any other.
+func NewOperatorClient() *Client {
+	c := NewClient()
+	c.http.CheckRedirect = nil
+	return c
+}
+
 func newClient(transport http.RoundTripper) *Client {
-	return &Client{http: &http.Client{Transport: transport}, answers: NewPool(innerPoolBytes)}
+	keepRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, answers: NewPool(innerPoolBytes)}
 }
 
 func newTransport(keepAlive bool) *http.Transport {
@@ -97,8 +106,8 @@
 
 // Do sends a request as it is; errors are ErrUnreachable or ErrBroken.
 func (c *Client) Do(request *http.Request) (*http.Response, error) {
-	response, err := c.http.Do(request)
-	return response, classify(err)
+	response, _, err := c.DoOn(request)
+	return response, err
 }
 
 // CheckListener opens and closes a connection. It returns ErrUnreachable if that
@@ -106,18 +115,19 @@
 func (c *Client) CheckListener(ctx context.Context, address string) error {
 	conn, err := dialCounted(ctx, "tcp", address)
 	if err != nil {
-		return classify(err)
+		return classify(err, false)
 	}
 	return conn.Close()
 }
 
-// classify tells a failed dial from any later failure.
-func classify(err error) error {
+// classify tells a failed dial from any later failure. A dial that failed after another
+// connection was opened proves nothing: the request may have been sent on that one.
+func classify(err error, opened bool) error {
 	if err == nil {
 		return nil
 	}
 	var op *net.OpError
-	if !errors.As(err, &op) || op.Op != "dial" {
+	if opened || !errors.As(err, &op) || op.Op != "dial" {
 		return errors.Mark(err, ErrBroken)
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -127,7 +137,7 @@
 }
 
 // Post sends a message and returns the response with an open body; a status of
-// 400 or above is returned as a StatusError.
+// 300 or above is returned as a StatusError.
 func (c *Client) Post(ctx context.Context, url string, in any) (*http.Response, error) {
 	body, err := json.Marshal(in)
 	if err != nil {
@@ -146,7 +156,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if response.StatusCode < http.StatusBadRequest {
+	if response.StatusCode < http.StatusMultipleChoices {
 		return response, nil
 	}
 	defer func() { _ = response.Body.Close() }()
