Describer: a version below 1 is refused

Cause: only a version above the one held takes effect, and the state without a configuration holds 0.

Change: such a configuration is refused with its reason when it is sent.

--- a/internal/describer/describer.go
+++ b/internal/describer/describer.go
@@ -135,6 +135,9 @@
 // Check returns an error marked ErrInvalid for the first mistake found, or nil if
 // the configuration is valid.
 func (c *Configuration) Check() error {
+	if c.Version <= 0 {
+		return invalid("the version %d can never be in force; number versions from 1", c.Version)
+	}
 	services := map[string]bool{}
 	for _, service := range c.Services {
 		if err := service.checkNumbers(); err != nil {
