Gatekeeper: the key of a request is looked up again once its body is in

Cause: the key was looked up with the head; before each attempt only the lease of the configuration is checked.

Change: the check of the key is a function of its own, called with the head, so that a wrong key is refused before its body is read, and again with the configuration in force when the body is in. Refused then with 401, as not run.

The tests' configuration has a version 4 with another key.

--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -28,12 +28,17 @@
 	"gotest.tools/v3/poll"
 )
 
-// testConfiguration decodes every document to the same configuration.
-func testConfiguration([]byte) (*describer.Configuration, error) {
+// testConfiguration decodes every document to the same configuration, but that version 4
+// has another key.
+func testConfiguration(document []byte) (*describer.Configuration, error) {
+	version, key := 3, "k1"
+	if string(document) == "4" {
+		version, key = 4, "k4"
+	}
 	splits := func(service string) []describer.Split { return []describer.Split{{Service: service, Weight: 1}} }
 	model := describer.Model{Name: "m", GroupSize: 2, InitialShare: 1, TimeFactor: 1, ColdLoadTime: time.Second, WarmLoadTime: time.Second}
 	return &describer.Configuration{
-		Version: 3,
+		Version: version,
 		Routes: []describer.Route{
 			{Name: "orders", Host: "a.example", Prefix: "/orders/", Kind: describer.KindUnsafe, Timeout: 2 * time.Second, MaxAttempts: 2, Splits: splits("desk")},
 			{Name: "look", Host: "a.example", Prefix: "/look/", Kind: describer.KindSafe, Timeout: 2 * time.Second, MaxAttempts: 2, Splits: splits("desk")},
@@ -44,7 +49,7 @@
 		},
 		Services:      []describer.Service{{Name: "desk"}, {Name: "writers", Engine: &describer.Engine{Slots: 8, Models: []describer.Model{model}}}},
 		RequiresKeys:  true,
-		Organisations: []describer.Organisation{{Name: "press", Keys: []string{"k1"}}},
+		Organisations: []describer.Organisation{{Name: "press", Keys: []string{key}}},
 		Limits:        describer.Limits{MaxBodyBytes: 1000},
 	}, nil
 }
@@ -199,13 +204,18 @@
 	return e
 }
 
-// start makes control return the configuration and waits until the entry is ready.
-func (s *testSystem) start() {
-	packed, err := packer.Pack([]byte("3"))
+// declare makes control return a version of the configuration.
+func (s *testSystem) declare(version int) {
+	packed, err := packer.Pack([]byte(strconv.Itoa(version)))
 	assert.NilError(s.t, err)
 	s.mu.Lock()
-	s.response.Confirmed, s.response.Version, s.response.Document, s.response.Changes.Term = true, 3, packed, 1
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.response.Confirmed, s.response.Version, s.response.Document, s.response.Changes.Term = true, version, packed, 1
+}
+
+// start makes control return the configuration and waits until the entry is ready.
+func (s *testSystem) start() {
+	s.declare(3)
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
 		if s.entry.Ready() {
 			return poll.Success()
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -119,18 +119,8 @@
 	e.route = route
 	e.metadata = g.dialect.ParseRequest(e.r)
 	e.lastEventID = e.metadata.LastEventID
-	if !route.Public && config.RequiresKeys {
-		if g.expired(active) {
-			g.reject(e, "the configuration was not confirmed of late")
-			return false
-		}
-		organisation, ok := config.Organisation(e.metadata.APIKey)
-		if !ok {
-			e.outcome, e.reason = "denied", "the key is not known"
-			http.Error(e.w, "the key is not known; use one that your office was given", http.StatusUnauthorized)
-			return false
-		}
-		e.organisation = organisation.Name
+	if !g.authenticate(e, active) {
+		return false
 	}
 	e.service, _ = config.Service(chooseService(route))
 	timeout := route.Timeout
@@ -138,7 +128,28 @@
 		timeout = min(timeout, e.metadata.Timeout, maxClientTimeout)
 	}
 	e.deadline = e.startedAt + timeout - responseMargin
-	return g.readRequestBody(e, config.Limits.MaxBodyBytes)
+	// A body may take longer to arrive than a removed key may work.
+	return g.readRequestBody(e, config.Limits.MaxBodyBytes) && g.authenticate(e, g.active.Load())
+}
+
+// authenticate finds the organisation that owns the key of a request, if the configuration
+// and the route require one. If it returns false, it has written the response.
+func (g *Gatekeeper) authenticate(e *exchange, active *activeConfig) bool {
+	if e.route.Public || !active.config.RequiresKeys {
+		return true
+	}
+	if g.expired(active) {
+		g.reject(e, "the configuration was not confirmed of late")
+		return false
+	}
+	organisation, ok := active.config.Organisation(e.metadata.APIKey)
+	if !ok {
+		e.outcome, e.reason = "denied", "the key is not known"
+		http.Error(e.w, "the key is not known; use one that your office was given", http.StatusUnauthorized)
+		return false
+	}
+	e.organisation = organisation.Name
+	return true
 }
 
 // expired reports whether the lease on the configuration has expired.
