Gatekeeper: a refusal that does not say whether it ran promises nothing

To the client these statuses promise that the order has not run, so that it may send it again.

Cause: the entry passes an endpoint's status on unchanged, also one that is a promise of ours by the platform's pages.

--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -187,7 +187,20 @@
 	return chooser.Failed
 }
 
+// promisesNotExecuted reports whether a status tells a client that its request has not run
+// and never will.
+func promisesNotExecuted(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
+}
+
+// writeResponse passes an endpoint's response on. A refusal that does not state that the
+// request was not executed is none: its status would promise more than is known of a
+// request that must not be repeated.
 func (g *Gatekeeper) writeResponse(e *exchange, response *http.Response, body []byte) {
+	if promisesNotExecuted(response.StatusCode) && !e.route.Repeatable() {
+		g.fail(e, http.StatusBadGateway, "the endpoint refused it without a word on whether it ran")
+		return
+	}
 	e.outcome = "answered"
 	g.announceStop(e)
 	g.dialect.CopyResponseHeader(e.w.Header(), response.Header)
