Director: revert what a leader that has not settled tells of departures

Cause: the leader published the view that it had inherited, as a whole view of its term. Entries may have had a newer view of the last leader than this follower had, and took the older one for new until the leader settled. By reading; which groups were lost is not traced.

Conclusion: reverted.

--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -119,27 +119,6 @@
 	}
 }
 
-// publishDepartures marks leaving endpoints in the view that this leader inherited. Its
-// own view comes only once it has settled, which may take longer than an endpoint serves
-// after it has announced its departure. The caller holds mu.
-func (d *Director) publishDepartures() {
-	f := &d.fleet
-	endpoints := f.viewer.Endpoints()
-	changed := false
-	for i, view := range endpoints {
-		e, ok := f.tracker.Endpoint(view.Instance)
-		if ok && e.View.Born == view.Born && e.View.Leaving && !view.Leaving {
-			endpoints[i].Leaving = true
-			changed = true
-		}
-	}
-	if !changed || !d.mayAct() {
-		return
-	}
-	f.viewer.Update(viewer.PublishMsg{Term: f.term, Endpoints: endpoints, Groups: f.viewer.Groups(), Controls: f.viewer.Controls()})
-	f.notifyWaiters()
-}
-
 // groupViews returns all groups, sorted by service. The caller holds mu.
 func (d *Director) groupViews() []messenger.GroupView {
 	var views []messenger.GroupView
@@ -196,7 +175,7 @@
 
 // plan runs the placers on a leader that has settled and holds a lease from a
 // quorum. Before it has settled, a leader that inherited no groups only observes
-// which groups exist, and one that inherited some only tells of departures.
+// which groups exist.
 func (d *Director) plan(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -206,7 +185,6 @@
 	}
 	settled := d.settled()
 	if !settled && f.inherited {
-		d.publishDepartures()
 		return
 	}
 	if settled && !d.mayAct() {
