Evacuator, director, gatekeeper, chooser, placer: evacuate a failure domain

Cause: operators order that nothing more be sent to the servers of a zone, and revoke it; no process knew such an order.

Change: the evacuated failure domains are part of the replicated log's state (evacuator, held by cataloguer). The leader commits an order before it is acknowledged; where the state is already as requested, a quorum confirms it without a log entry. A confirmation carries the newest revision, and a process marks an answer as confirmed only once it has it. Entries end their requests to the failure domain over 0.4 of evacuate-ms, then send none; requests that only evacuated endpoints serve are refused at once. The placer forms, loads and preempts nothing there and leaves it out of the targets; open groups stay open.

--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -1,8 +1,8 @@
 // Package cataloguer is the state machine that the replicated control log drives
 // in a deployment without side processes. It holds the newest configuration, the
 // known endpoints, the departures that endpoints announced, the content that is kept
-// from endpoints because it crashes them, and whether the service ever had client
-// traffic.
+// from endpoints because it crashes them, the evacuated failure domains, and whether the
+// service ever had client traffic.
 //
 // # Usage
 //
@@ -20,6 +20,7 @@
 	"encoding/json"
 	"slices"
 
+	"papayaseam/internal/evacuator"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/quarantiner"
 
@@ -39,20 +40,25 @@
 // Cataloguer is the state after the applied commands. It is not safe for
 // concurrent use.
 type Cataloguer struct {
-	state      messenger.FleetState
-	departed   map[messenger.Departure]bool // departed holds state.Departures for lookups.
-	quarantine *quarantiner.Table
+	state       messenger.FleetState
+	departed    map[messenger.Departure]bool // departed holds state.Departures for lookups.
+	quarantine  *quarantiner.Table
+	evacuations *evacuator.Evacuator
 }
 
 // New returns a Cataloguer with empty state.
 func New() *Cataloguer {
-	return &Cataloguer{departed: map[messenger.Departure]bool{}, quarantine: quarantiner.New()}
+	return &Cataloguer{departed: map[messenger.Departure]bool{}, quarantine: quarantiner.New(), evacuations: evacuator.New()}
 }
 
 // Quarantine returns the content that is suspected to crash endpoints. Only Update
 // and ApplyQuarantine may change it.
 func (c *Cataloguer) Quarantine() *quarantiner.Table { return c.quarantine }
 
+// Evacuations returns the evacuated failure domains. Only Update and ApplyEvacuations may
+// change them.
+func (c *Cataloguer) Evacuations() *evacuator.Evacuator { return c.evacuations }
+
 // Document returns the newest configuration and its version, or version 0 and an
 // empty document if there is none.
 func (c *Cataloguer) Document() (version int, document string) {
@@ -69,7 +75,7 @@
 }
 
 // Update applies a command and reports whether it changed the document, the
-// departures, the quarantine or the traffic flag. Changes to the endpoints are not
+// departures, the quarantine, the evacuations or the traffic flag. Changes to the endpoints are not
 // reported.
 func (c *Cataloguer) Update(msg CommandMsg) bool {
 	command := msg.Command
@@ -79,6 +85,9 @@
 		c.quarantine.Update(quarantiner.ReportMsg{Command: *command.Quarantine})
 		changed = c.quarantine.Revision() != before
 	}
+	if command.Evacuation != nil && c.evacuations.Update(evacuator.CommandMsg{Evacuation: *command.Evacuation}) {
+		changed = true
+	}
 	if command.Document != "" && command.Version > c.state.Version {
 		c.state.Version = command.Version
 		c.state.Document = command.Document
@@ -121,6 +130,12 @@
 	c.quarantine.Update(quarantiner.ApplyMsg{Changes: changes})
 }
 
+// ApplyEvacuations brings the evacuations of a process without a log up to date with those
+// of another process.
+func (c *Cataloguer) ApplyEvacuations(list messenger.EvacuationList) {
+	c.evacuations.Update(evacuator.ApplyMsg{List: list})
+}
+
 // addEndpoint stores an endpoint with its address, so that a new leader without
 // any other state can query it at once. It replaces older entries of the same
 // instance or address.
@@ -147,6 +162,7 @@
 	state := c.state
 	quarantine := c.quarantine.Snapshot()
 	state.Quarantine = &quarantine
+	state.Evacuations = c.evacuations.ListSince(0)
 	data, err := json.Marshal(state)
 	return data, errors.Wrap(err, "encode the snapshot")
 }
@@ -156,6 +172,7 @@
 	c.state = messenger.FleetState{}
 	c.departed = map[messenger.Departure]bool{}
 	c.quarantine = quarantiner.New()
+	c.evacuations = evacuator.New()
 	if len(data) == 0 {
 		return nil
 	}
@@ -169,5 +186,9 @@
 		c.ApplyQuarantine(*c.state.Quarantine)
 		c.state.Quarantine = nil
 	}
+	if c.state.Evacuations != nil {
+		c.ApplyEvacuations(*c.state.Evacuations)
+		c.state.Evacuations = nil
+	}
 	return nil
 }
--- a/internal/cataloguer/cataloguer_test.go
+++ b/internal/cataloguer/cataloguer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"papayaseam/internal/messenger"
@@ -68,6 +69,26 @@
 	assert.DeepEqual(t, restored.Quarantine().Records(), c.Quarantine().Records())
 }
 
+// TestSnapshotKeepsTheEvacuations guards against a replica that starts from a snapshot,
+// or is restored to one, and sends requests to an evacuated failure domain.
+func TestSnapshotKeepsTheEvacuations(t *testing.T) {
+	c := New()
+	before, err := c.Snapshot()
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(before), "evacuations"), "a snapshot without evacuations has another size")
+	command := messenger.FleetCommand{Evacuation: &messenger.Evacuation{FailureDomain: "d0", Active: true}}
+	assert.Assert(t, c.Update(CommandMsg{Command: command}))
+	assert.Assert(t, !c.Update(CommandMsg{Command: command}))
+	data, err := c.Snapshot()
+	assert.NilError(t, err)
+	restored := New()
+	assert.NilError(t, restored.Restore(data))
+	assert.DeepEqual(t, restored.Evacuations().Snapshot(), c.Evacuations().Snapshot())
+	assert.Assert(t, restored.Evacuations().Evacuated("d0"))
+	assert.NilError(t, restored.Restore(before))
+	assert.Equal(t, restored.Evacuations().Revision(), 0)
+}
+
 // TestSnapshotRestoreMatchesReplayedLog checks for random sequences of commands
 // that the version never decreases, and that a state restored from a snapshot at
 // any point stays equal to the original as both apply the same commands.
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -117,6 +117,7 @@
 	retryAt          time.Duration    // retryAt is when a failing endpoint may be picked again.
 	slowdown         float64          // slowdown is the reported step time relative to normal; above 1 is slower.
 	preferred        bool             // preferred marks the groups that this entry sends most requests to.
+	fallback         bool             // fallback marks those that it prefers without the evacuated failure domains.
 }
 
 // inFlightSample is the number of requests an entry had in flight at one time.
@@ -156,6 +157,10 @@
 	inFlight   map[string]int // inFlight counts this entry's requests by endpoint.
 	entryCount int
 	notices    map[string]notice // notices holds what endpoints said of themselves, by endpoint.
+
+	evacuations map[string]phaseOut // evacuations holds the evacuated failure domains.
+	latest      time.Duration       // latest is the latest time that a message or a request carried.
+	closedCount int                 // closedCount is the number of closed failure domains as the preferred groups were marked.
 }
 
 // New returns a chooser for an entry in the given failure domain.
@@ -181,6 +186,8 @@
 		c.endAttempt(msg)
 	case NoticeMsg:
 		c.addNotice(msg)
+	case EvacuationMsg:
+		c.evacuate(msg)
 	case LoadMsg:
 		if cand := c.candidates[msg.ID]; cand != nil {
 			cand.reported = msg.Running + msg.Waiting
@@ -223,6 +230,7 @@
 func (c *Chooser) replaceFleet(msg FleetMsg) {
 	old := c.candidates
 	c.entryCount = msg.EntryCount
+	c.latest = max(c.latest, msg.Now)
 	c.candidates = map[string]*candidate{}
 	byID := map[string]messenger.EndpointView{}
 	grouped := map[string]bool{}
@@ -255,13 +263,14 @@
 // markPreferred chooses the groups of each model that this entry prefers. An
 // entry that sends most requests to a few groups gets load reports from those
 // with its responses, and estimates their load better than if it sent a few
-// requests to every group.
+// requests to every group. Groups in closed failure domains are not preferred.
 func (c *Chooser) markPreferred() {
+	c.closedCount = c.countClosed()
 	byModel := map[string][]*candidate{}
 	for _, id := range c.ids {
 		cand := c.candidates[id]
-		cand.preferred = false
-		if cand.grouped {
+		cand.preferred, cand.fallback = false, false
+		if cand.grouped && !c.closed(cand) {
 			byModel[cand.model] = append(byModel[cand.model], cand)
 		}
 	}
@@ -270,6 +279,7 @@
 		for _, cand := range groups[:c.preferredCount(groups)] {
 			cand.preferred = true
 		}
+		c.markFallback(groups)
 	}
 }
 
@@ -335,11 +345,11 @@
 }
 
 // Utilization returns the estimated load of a model as a fraction of its slots.
-// Waiting requests count, so it can exceed 1.
+// Waiting requests count, so it can exceed 1. Closed failure domains do not count.
 func (c *Chooser) Utilization(service, model string) float64 {
 	load, slots := 0, 0
 	for _, cand := range c.candidates {
-		if cand.service == service && cand.model == model {
+		if cand.service == service && cand.model == model && !c.closed(cand) {
 			load += cand.load()
 			slots += cand.slots
 		}
--- a/internal/chooser/draw.go
+++ b/internal/chooser/draw.go
@@ -7,17 +7,31 @@
 // Pick returns a random endpoint that can start the request soon enough, or
 // false if there is none. The probability of an endpoint grows with the square
 // of its free share of slots, so that entries with equally stale reports do not
-// all pick the emptiest one.
+// all pick the emptiest one. Failure domains that are being phased out are avoided by
+// a growing share of the requests, as long as others have a free place.
 func (c *Chooser) Pick(req Request) (Target, bool) {
+	c.latest = max(c.latest, req.Now)
+	closed, phasedOut := c.drawClosed(req.Now)
+	if len(phasedOut) > 0 {
+		if target, ok := c.pickOutside(req, slices.Concat(closed, phasedOut), true); ok {
+			return target, true
+		}
+	}
+	return c.pickOutside(req, closed, false)
+}
+
+// pickOutside returns an endpoint outside the excluded failure domains. With fallback, the
+// groups count as preferred that are so without the evacuated failure domains.
+func (c *Chooser) pickOutside(req Request, excluded []string, fallback bool) (Target, bool) {
 	total := 0.0
-	freeCap := c.freeShareCap(req)
+	freeCap := c.freeShareCap(req, excluded)
 	weights := make([]float64, len(c.ids))
 	for i, id := range c.ids {
 		cand := c.candidates[id]
-		if cand.service != req.Service || cand.model != req.Model || slices.Contains(req.Exclude, id) || cand.retryAt > req.Now || c.StaysAway(cand.target, req.Now) {
+		if cand.service != req.Service || cand.model != req.Model || slices.Contains(req.Exclude, id) || cand.retryAt > req.Now || c.StaysAway(cand.target, req.Now) || slices.Contains(excluded, cand.domain) {
 			continue
 		}
-		weights[i] = c.weight(cand, req.Urgency, freeCap)
+		weights[i] = c.weight(cand, req.Urgency, freeCap, fallback)
 		total += weights[i]
 	}
 	if total <= 0 {
@@ -70,13 +84,13 @@
 const preferredWeight = 60
 
 // freeShareCap returns the largest free share that weight counts, derived from
-// the mean over the groups that serve the model. Without the cap, a group that
+// the mean over the groups that serve the model outside the excluded failure domains. Without the cap, a group that
 // has just opened would get requests from all entries at once and process their
 // prompts late.
-func (c *Chooser) freeShareCap(req Request) float64 {
+func (c *Chooser) freeShareCap(req Request, excluded []string) float64 {
 	sum, n := 0.0, 0
 	for _, cand := range c.candidates {
-		if cand.grouped && cand.service == req.Service && cand.model == req.Model {
+		if cand.grouped && cand.service == req.Service && cand.model == req.Model && !slices.Contains(excluded, cand.domain) {
 			sum += max(1-float64(cand.load())/float64(cand.slots), 0)
 			n++
 		}
@@ -91,7 +105,7 @@
 // cannot take the request. It is the square of the free share of the capacity,
 // at most freeCap; lower for slow groups, and higher in the entry's own failure
 // domain, since traffic between domains is expensive.
-func (c *Chooser) weight(cand *candidate, urgency Urgency, freeCap float64) float64 {
+func (c *Chooser) weight(cand *candidate, urgency Urgency, freeCap float64, fallback bool) float64 {
 	capacity := c.capacity(cand, urgency)
 	free := min(float64(capacity-cand.load())/float64(capacity), freeCap)
 	blocked := cand.grouped && (cand.inFlight >= c.entryLimit(cand) || (urgency != Resumed && cand.queued > 0))
@@ -102,7 +116,7 @@
 	if cand.domain == c.domain {
 		weight *= c.options.localDomainWeight
 	}
-	if cand.preferred {
+	if (cand.preferred && !fallback) || (cand.fallback && fallback) {
 		weight *= preferredWeight
 	}
 	return weight
--- a/internal/chooser/notice.go
+++ b/internal/chooser/notice.go
@@ -98,7 +98,7 @@
 func (c *Chooser) ReturnIn(service, model string, now time.Duration) (time.Duration, bool) {
 	wait := time.Duration(0)
 	for id, cand := range c.candidates {
-		if cand.service != service || cand.model != model {
+		if cand.service != service || cand.model != model || c.closed(cand) {
 			continue
 		}
 		if !c.StaysAway(cand.target, now) {
--- a/internal/configurer/direct.go
+++ b/internal/configurer/direct.go
@@ -23,6 +23,9 @@
 	BreakAfter time.Duration // BreakAfter is when a head that lacks a member has broken for certain.
 	Stop       time.Duration // Stop bounds a planned stop.
 	MemoryMB   int           // MemoryMB bounds the process.
+
+	FailureDomains []string      // FailureDomains are the failure domains that may be evacuated; empty for those of the endpoints.
+	EvacuateWithin time.Duration // EvacuateWithin is when nothing more reaches an evacuated failure domain.
 }
 
 const (
@@ -35,11 +38,33 @@
 	leaseShare = 0.8
 	// breakMargin covers the lag of reports and clocks that differ in rate.
 	breakMargin = time.Second
+	// defaultEvacuateWithin applies where evacuate-ms is absent or empty, since the bound
+	// is not declared in every deployment.
+	defaultEvacuateWithin = 5 * time.Second
+	// maxFailureDomains and maxNameBytes bound what an evacuation can hold in control's log.
+	maxFailureDomains = 256
+	maxNameBytes      = 256
 )
 
 // IsDirect reports whether the process serves endpoints without side processes.
 func (s Settings) IsDirect() bool { return s.Has(RoleDirectControl) || s.Has(RoleDirectEntry) }
 
+// failureDomains reads the failure domains that may be evacuated.
+func (r reader) failureDomains(section string) []string {
+	const key = "failure-domains"
+	domains := r.List(section, key)
+	if len(domains) > maxFailureDomains {
+		r.Fail(section, key, "%d failure domains; name %d at most", len(domains), maxFailureDomains)
+		return nil
+	}
+	for _, domain := range domains {
+		if len(domain) > maxNameBytes {
+			r.Fail(section, key, "%.32q... is too long for a failure domain; use %d bytes at most", domain, maxNameBytes)
+		}
+	}
+	return domains
+}
+
 func (r reader) direct() Direct {
 	const section = "direct"
 	grace := r.Number(section, "grace-s", 10, 1, maxGraceS)
@@ -54,6 +79,11 @@
 	revoke := r.duration(section, "key-removal-ms", 5*time.Second)
 	d.Lease = time.Duration(float64(revoke) * leaseShare)
 	d.BreakAfter = r.duration(section, "group-stall-ms", 10*time.Second) + breakMargin
+	d.FailureDomains = r.failureDomains(section)
+	d.EvacuateWithin = defaultEvacuateWithin
+	if r.Text(section, "evacuate-ms", "") != "" {
+		d.EvacuateWithin = r.duration(section, "evacuate-ms", defaultEvacuateWithin)
+	}
 	port := r.Needed(section, "inner-port")
 	d.Address = net.JoinHostPort(r.Needed(section, "ip"), port)
 	for _, seed := range r.List(section, "seeds") {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -109,6 +109,7 @@
 	Seeds             []string      // Seeds are the addresses of the control processes to contact first.
 	FirstStart        bool          // FirstStart is true only when the whole system starts for the first time.
 	DataFolder        string        // DataFolder holds the journal; empty for a process without a disk.
+	FailureDomains    []string      // FailureDomains are the failure domains that may be evacuated; if empty, those of the endpoints.
 	ToleratedLosses   int           // ToleratedLosses is the number of disks that may be lost at once without losing data.
 	GroupStallTimeout time.Duration // GroupStallTimeout is the time after which a head that lacks a member has certainly failed its requests.
 	Decode            func(document []byte) (*describer.Configuration, error)
@@ -187,6 +188,7 @@
 	quarantine  *quarantineBatch // quarantine is the batch that reports can still join; nil if there is none.
 	// crashedBoots holds the boots that count as crashed; empty unless this process leads.
 	crashedBoots map[string]*crashedBoot
+	revocations  map[string]revocation // revocations maps failure domains to the ends of their last evacuations.
 }
 
 // New opens the journal, if there is a data folder, and prepares the process. Run
@@ -197,7 +199,7 @@
 		inbox: make(chan any, inboxCapacity), peerQueues: map[string]chan messenger.ReplicaMessage{}, exited: make(chan string, exitedCapacity), orderSlots: make(chan struct{}, maxConcurrentOrders), planTrigger: make(chan struct{}, 1), pollTrigger: make(chan struct{}, 1),
 		proposals: map[uint64]chan result{}, reads: map[uint64][]chan result{}, waiters: map[int]waiter{},
 		seeds: cfg.Seeds, lastHeard: map[string]time.Duration{}, state: cataloguer.New(), fleet: newFleet(), collector: newCollector(), holdTimer: quarantiner.NewTimer(),
-		crashedBoots: map[string]*crashedBoot{},
+		crashedBoots: map[string]*crashedBoot{}, revocations: map[string]revocation{},
 	}
 	d.rounds = batcher.New(minRoundInterval, d.runRound)
 	if cfg.DataFolder == "" {
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -103,6 +103,7 @@
 	}
 	d, err := New(Config{
 		Name: n.address, Address: n.address, ListenAddress: n.address, Seeds: seeds, FirstStart: first, DataFolder: n.folder, ToleratedLosses: 1,
+		FailureDomains:    []string{"d0", "d1", "d2"},
 		GroupStallTimeout: time.Second, Decode: decodeNumbered,
 	}, calls, exposer.NewLogger(io.Discard, n.address))
 	assert.NilError(n.t, err)
--- /dev/null
+++ b/internal/director/evacuate_test.go
@@ -0,0 +1,304 @@
+package director
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+
+	"papayaseam/internal/cataloguer"
+	"papayaseam/internal/messenger"
+	"papayaseam/internal/replicator"
+	"papayaseam/internal/tracker"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// evacuate sends an order to a process until it is acknowledged, as an operator does.
+func (c *cluster) evacuate(n *node, domain string, active bool) {
+	c.t.Helper()
+	c.waitUntil("the order is not acknowledged", func() bool { return n.director.Evacuate(context.Background(), domain, active) == nil })
+}
+
+// confirmedEvacuation reports whether a failure domain is evacuated according to the first
+// confirmed answer that a process gives to an entry which starts.
+func (c *cluster) confirmedEvacuation(n *node, domain string) bool {
+	c.t.Helper()
+	var response messenger.FleetResponse
+	c.waitUntil("no confirmed answer", func() bool {
+		response = n.director.Sync(context.Background(), messenger.FleetRequest{Process: "entry"})
+		return response.Confirmed
+	})
+	if response.Evacuations == nil {
+		return false
+	}
+	for _, r := range response.Evacuations.FailureDomains {
+		if r.FailureDomain == domain {
+			return r.Active
+		}
+	}
+	return false
+}
+
+// addDiskless starts a control process without a disk.
+func (c *cluster) addDiskless() *node {
+	l := listen(c.t, "127.0.0.1:0")
+	diskless := &node{t: c.t, listener: l, address: l.Addr().String()}
+	c.nodes = append(c.nodes, diskless)
+	diskless.start(c.seeds, false)
+	return diskless
+}
+
+// TestConfirmedAnswersHoldAcknowledgedEvacuations guards against an entry that is in
+// contact with control and goes on to send to a failure domain, because the process that
+// it asks confirms answers before it has the evacuation.
+func TestConfirmedAnswersHoldAcknowledgedEvacuations(t *testing.T) {
+	c := newCluster(t)
+	c.declare(c.waitForLeader(), "7 seven")
+	c.addDiskless()
+	for _, active := range []bool{true, false, true} {
+		for _, ordered := range c.nodes {
+			c.evacuate(ordered, "d0", active)
+			for _, n := range c.nodes {
+				assert.Equal(t, c.confirmedEvacuation(n, "d0"), active)
+			}
+			c.evacuate(ordered, "d0", !active)
+			for _, n := range c.nodes {
+				assert.Equal(t, c.confirmedEvacuation(n, "d0"), !active)
+			}
+		}
+	}
+}
+
+// TestEvacuationWakesWaitingEntries guards against entries that learn of an evacuation only
+// when their wait for other changes is over.
+func TestEvacuationWakesWaitingEntries(t *testing.T) {
+	d, err := New(Config{Name: "c", Address: "127.0.0.1:1"}, unresponsiveEndpoints{}, discardLogger())
+	assert.NilError(t, err)
+	request := messenger.FleetRequest{Process: "entry", WaitMs: int(maxSyncWait.Milliseconds())}
+	for i, active := range []bool{true, false} {
+		d.mu.Lock()
+		changed := d.fleet.changed
+		assert.Assert(t, !d.hasNewEvacuations(request))
+		d.mu.Unlock()
+		d.applyEvacuation("d0", active)
+		select {
+		case <-changed:
+		default:
+			t.Fatal("waiting calls are not woken")
+		}
+		start := now()
+		d.waitForChange(t.Context(), request)
+		assert.Assert(t, now()-start < maxSyncWait, "the call waited although there is something new")
+		request.Evacuations = i + 1
+	}
+}
+
+// applyEvacuation applies a committed order.
+func (d *Director) applyEvacuation(domain string, active bool) {
+	data, _ := json.Marshal(messenger.FleetCommand{Evacuation: &messenger.Evacuation{FailureDomain: domain, Active: active}})
+	d.applyEntries([]messenger.Entry{{Kind: replicator.EntryCommand, Data: data}})
+}
+
+// TestEvacuationSurvivesTheLossOfADiskAndARestartOfAll guards against requests to a failure
+// domain whose evacuation was acknowledged before all processes were killed.
+func TestEvacuationSurvivesTheLossOfADiskAndARestartOfAll(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	c.declare(leader, "7 seven")
+	c.evacuate(leader, "d1", true)
+	leader.restart(c.seeds, true)
+	assert.Assert(t, c.confirmedEvacuation(c.otherNode(leader), "d1"), "the disk was lost right after the acknowledgement")
+	c.waitUntil("the process with an empty disk does not vote", func() bool { return len(c.voters()) == 3 })
+	for _, n := range c.nodes {
+		n.shutDown()
+	}
+	for _, n := range c.nodes {
+		n.restart(c.seeds, false)
+	}
+	for _, n := range c.nodes {
+		assert.Assert(t, c.confirmedEvacuation(n, "d1"))
+	}
+}
+
+// TestRestartedProcessWithoutADiskConfirmsNothingOlder guards against a relay that starts
+// without state and confirms that there is no evacuation.
+func TestRestartedProcessWithoutADiskConfirmsNothingOlder(t *testing.T) {
+	c := newCluster(t)
+	c.declare(c.waitForLeader(), "7 seven")
+	diskless := c.addDiskless()
+	c.evacuate(diskless, "d2", true)
+	for range 3 {
+		diskless.restart(c.seeds, false)
+		assert.Assert(t, c.confirmedEvacuation(diskless, "d2"))
+	}
+}
+
+// TestNextLeaderAcknowledgesAResentOrder has the leader end between the commit of an order
+// and its acknowledgement.
+func TestNextLeaderAcknowledgesAResentOrder(t *testing.T) {
+	c := newCluster(t)
+	first := c.waitForLeader()
+	c.declare(first, "7 seven")
+	order := messenger.FleetCommand{Evacuation: &messenger.Evacuation{FailureDomain: "d0", Active: true}}
+	_, err := first.director.commit(context.Background(), order)
+	assert.NilError(t, err)
+	first.shutDown()
+	c.evacuate(c.otherNode(first), "d0", true)
+	for _, n := range c.nodes {
+		if n != first {
+			assert.Assert(t, c.confirmedEvacuation(n, "d0"))
+		}
+	}
+}
+
+// TestRepeatedOrderIsConfirmedWithoutALogEntry guards against a log that grows with each
+// order that is sent again.
+func TestRepeatedOrderIsConfirmedWithoutALogEntry(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	c.declare(leader, "7 seven")
+	c.evacuate(leader, "d0", true)
+	before, err := leader.director.journal.Load()
+	assert.NilError(t, err)
+	for range 5 {
+		c.evacuate(c.otherNode(leader), "d0", true)
+		c.evacuate(leader, "d1", false)
+	}
+	after, err := leader.director.journal.Load()
+	assert.NilError(t, err)
+	assert.Equal(t, len(after.Entries), len(before.Entries))
+}
+
+// TestLeaderWithoutAQuorumAcknowledgesNoOrder guards against a leader that was replaced and
+// acknowledges a state that a later one has changed.
+func TestLeaderWithoutAQuorumAcknowledgesNoOrder(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	c.declare(leader, "7 seven")
+	c.evacuate(leader, "d0", true)
+	for _, n := range c.nodes {
+		if n != leader {
+			n.shutDown()
+		}
+	}
+	for _, active := range []bool{true, false} {
+		assert.Assert(t, errors.Is(leader.director.Evacuate(context.Background(), "d0", active), ErrOutcomeUnknown))
+	}
+}
+
+// TestRacingOrdersLeaveOneState has operators order the opposite at several processes at
+// once. All processes then agree, and an order that follows is in force.
+func TestRacingOrdersLeaveOneState(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	c.declare(leader, "7 seven")
+	for i := range 5 {
+		var wg sync.WaitGroup
+		for j, n := range c.nodes {
+			for range 4 {
+				wg.Go(func() { _ = n.director.Evacuate(context.Background(), "d0", j%2 == 0) })
+			}
+		}
+		wg.Wait()
+		state := c.confirmedEvacuation(c.nodes[0], "d0")
+		for _, n := range c.nodes {
+			assert.Equal(t, c.confirmedEvacuation(n, "d0"), state)
+		}
+		c.evacuate(c.nodes[i%3], "d0", i%2 == 0)
+		assert.Equal(t, c.confirmedEvacuation(c.nodes[(i+1)%3], "d0"), i%2 == 0)
+	}
+}
+
+// TestUnknownDomainIsNamedWithTheKnownOnes guards against a mistaken name that is sent again
+// without end, and against one that is committed.
+func TestUnknownDomainIsNamedWithTheKnownOnes(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	for _, n := range []*node{leader, c.otherNode(leader)} {
+		for _, domain := range []string{"", "d3", strings.Repeat("x", 1<<16)} {
+			var unknown *UnknownDomainError
+			c.waitUntil("the order is not refused", func() bool {
+				return errors.As(n.director.Evacuate(context.Background(), domain, true), &unknown)
+			})
+			assert.DeepEqual(t, unknown.Known, []string{"d0", "d1", "d2"})
+		}
+	}
+	assert.Equal(t, leader.director.state.Evacuations().Revision(), 0)
+}
+
+// TestDomainsOfEndpointsAreKnownWithoutSettings guards against an order that is refused for
+// good because a new leader has not heard the endpoints yet, or because its endpoints are
+// gone after it was accepted.
+func TestDomainsOfEndpointsAreKnownWithoutSettings(t *testing.T) {
+	d, err := New(Config{Name: "c", Address: "127.0.0.1:1"}, unresponsiveEndpoints{}, discardLogger())
+	assert.NilError(t, err)
+	d.leading = true
+	answer := d.handleEvacuate(t.Context(), messenger.EvacuationRequest{Evacuation: &messenger.Evacuation{FailureDomain: "d0", Active: true}})
+	assert.DeepEqual(t, answer, messenger.EvacuationAnswer{FailureDomains: answer.FailureDomains})
+	assert.Assert(t, !answer.Unknown, "the leader has not heard the endpoints yet")
+	d.fleet.settled = true
+	d.state.Update(cataloguer.CommandMsg{Command: messenger.FleetCommand{Endpoint: &messenger.EndpointView{Instance: "a", FailureDomain: "d0"}}})
+	d.tracker().Update(tracker.AnnounceMsg{Now: now(), Endpoint: messenger.EndpointView{Instance: "b", Born: 1, Address: "b", FailureDomain: "d1"}})
+	d.tracker().Update(tracker.AnnounceMsg{Now: now(), Endpoint: messenger.EndpointView{Instance: "c", Born: 1, Address: "c", FailureDomain: strings.Repeat("x", maxDomainBytes+1)}})
+	d.state.Update(cataloguer.CommandMsg{Command: messenger.FleetCommand{Evacuation: &messenger.Evacuation{FailureDomain: "gone", Active: true}}})
+	known, certain := d.knownDomains()
+	assert.Assert(t, certain)
+	assert.DeepEqual(t, known, []string{"d0", "d1", "gone"})
+	answer = d.handleEvacuate(t.Context(), messenger.EvacuationRequest{Evacuation: &messenger.Evacuation{FailureDomain: "mars"}})
+	assert.Assert(t, answer.Unknown)
+	assert.DeepEqual(t, d.handleEvacuate(t.Context(), messenger.EvacuationRequest{}), messenger.EvacuationAnswer{})
+}
+
+// TestEndOfAnEvacuationIsRecorded guards against a leader that takes endpoints for warm which
+// were idle during an evacuation: it needs the time at which it learned of the revocation,
+// also where it did so from a snapshot.
+func TestEndOfAnEvacuationIsRecorded(t *testing.T) {
+	d, err := New(Config{Name: "c", Address: "127.0.0.1:1"}, unresponsiveEndpoints{}, discardLogger())
+	assert.NilError(t, err)
+	ended := func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		_, ok := d.evacuationEndedAt("d0")
+		return ok
+	}
+	apply := func(active bool) { d.applyEvacuation("d0", active) }
+	assert.Assert(t, !ended())
+	apply(true)
+	assert.Assert(t, !ended())
+	start := now()
+	apply(false)
+	assert.Assert(t, ended())
+	at, _ := d.evacuationEndedAt("d0")
+	assert.Assert(t, at >= start)
+	apply(false)
+	same, _ := d.evacuationEndedAt("d0")
+	assert.Equal(t, same, at, "a repeated revocation ended it anew")
+	snapshot, err := d.state.Snapshot()
+	assert.NilError(t, err)
+	apply(true)
+	assert.Assert(t, !ended())
+	restarted, err := New(Config{Name: "c", Address: "127.0.0.1:1"}, unresponsiveEndpoints{}, discardLogger())
+	assert.NilError(t, err)
+	assert.NilError(t, restarted.restore(snapshot))
+	_, ok := restarted.evacuationEndedAt("d0")
+	assert.Assert(t, ok)
+}
+
+// TestVotersTakeEvacuationsFromTheLog guards against answers of the leader to a voter whose
+// log lags behind, which would repeat without a wait until it has caught up.
+func TestVotersTakeEvacuationsFromTheLog(t *testing.T) {
+	d, err := New(Config{Name: "c", Address: "127.0.0.1:1"}, unresponsiveEndpoints{}, discardLogger())
+	assert.NilError(t, err)
+	d.leading = true
+	d.state.Update(cataloguer.CommandMsg{Command: messenger.FleetCommand{Evacuation: &messenger.Evacuation{FailureDomain: "d0", Active: true}}})
+	for quarantine, follows := range map[int]bool{0: false, skipQuarantine: true} {
+		request := messenger.FleetRequest{Quarantine: quarantine}
+		assert.Equal(t, d.hasNewEvacuations(request), !follows)
+		d.mu.Lock()
+		assert.Equal(t, d.responseTo(request).Evacuations == nil, follows)
+		d.mu.Unlock()
+	}
+}
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -194,7 +194,7 @@
 	f.partial = !settled
 	f.tracker.Update(tracker.ExpireMsg{Now: now(), MaxSilence: forgetEndpointAfter})
 	moving, stalled := d.streamProgress()
-	msg := placer.PlanMsg{Now: now(), Demand: d.currentDemand(), LastEvents: d.lastEvents(), ProgressingHeads: moving, StalledHeads: stalled, ObserveOnly: !settled}
+	msg := placer.PlanMsg{Now: now(), Demand: d.currentDemand(), LastEvents: d.lastEvents(), ProgressingHeads: moving, StalledHeads: stalled, Evacuated: d.state.Evacuations().Domains(), ObserveOnly: !settled}
 	msg.HadTraffic = d.state.HasServedTraffic()
 	d.commitTraffic(ctx, len(msg.Demand) > 0)
 	for _, service := range d.config.Services {
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -199,6 +199,9 @@
 	}
 	d.loadConfiguration()
 	d.quarantineChanged()
+	if d.state.Evacuations().Revision() > 0 {
+		d.evacuationsChanged()
+	}
 	return nil
 }
 
@@ -208,7 +211,7 @@
 	results := make([]result, len(entries))
 	d.mu.Lock()
 	before, _ := d.state.Document()
-	quarantine := d.state.Quarantine().Revision()
+	quarantine, evacuations := d.state.Quarantine().Revision(), d.state.Evacuations().Revision()
 	for i, entry := range entries {
 		if entry.Kind == replicator.EntryCommand {
 			results[i].changed = d.applyCommand(entry)
@@ -220,6 +223,9 @@
 	if d.state.Quarantine().Revision() != quarantine {
 		d.quarantineChanged()
 	}
+	if d.state.Evacuations().Revision() != evacuations {
+		d.evacuationsChanged()
+	}
 	d.mu.Unlock()
 	for i, entry := range entries {
 		d.completeEntry(entry, results[i])
--- a/internal/director/round.go
+++ b/internal/director/round.go
@@ -62,7 +62,7 @@
 	defer d.mu.Unlock()
 	d.confirmedAt = max(d.confirmedAt, start)
 	version, _ := d.state.Document()
-	return messenger.Confirmation{Confirmed: true, Leader: d.cfg.Address, Version: version, Entries: d.liveEntries()}, nil
+	return messenger.Confirmation{Confirmed: true, Leader: d.cfg.Address, Version: version, Entries: d.liveEntries(), Evacuations: d.state.Evacuations().Revision()}, nil
 }
 
 // confirmViaLeader sends a digest to the leader, which confirms it with a quorum. It
@@ -112,16 +112,16 @@
 // that no other leader can have sent an order yet. The caller holds mu.
 func (d *Director) mayAct() bool { return d.leading && now()-d.confirmedAt < leaseDuration }
 
-// confirm returns once this process has every configuration that was committed
-// before the call.
+// confirm returns once this process has every configuration and evacuation that was
+// committed before the call.
 func (d *Director) confirm(ctx context.Context) error {
 	_, err := d.confirmAndCatchUp(ctx)
 	return err
 }
 
-// confirmAndCatchUp runs a round and waits until the confirmed configuration has been
-// replicated to this process. It returns ErrStaleConfiguration if that takes longer
-// than maxDocumentWait.
+// confirmAndCatchUp runs a round and waits until the confirmed configuration and
+// evacuations have been replicated to this process. It returns ErrStaleConfiguration if
+// that takes longer than maxDocumentWait.
 func (d *Director) confirmAndCatchUp(ctx context.Context) (messenger.Confirmation, error) {
 	c, err := d.rounds.Do(ctx)
 	if err != nil {
@@ -132,9 +132,10 @@
 	for {
 		d.mu.Lock()
 		version, _ := d.state.Document()
+		evacuations := d.state.Evacuations().Revision()
 		changed := d.fleet.changed
 		d.mu.Unlock()
-		if version >= c.Version {
+		if version >= c.Version && evacuations >= c.Evacuations {
 			return c, nil
 		}
 		select {
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -30,6 +30,7 @@
 	transporter.Handle(mux, "POST /fleet/document", d.handleDocument)
 	transporter.Handle(mux, "POST /fleet/quarantine", d.handleQuarantine)
 	transporter.Handle(mux, "POST /fleet/doubt", d.handleDoubt)
+	transporter.Handle(mux, "POST /fleet/evacuate", d.handleEvacuate)
 }
 
 // Sync returns what an entry lacks of the configuration and the view of the fleet:
@@ -80,6 +81,9 @@
 	if version > request.Version {
 		response.Document = document
 	}
+	if !followsLog(request) {
+		response.Evacuations = d.state.Evacuations().ListSince(request.Evacuations)
+	}
 	return response
 }
 
@@ -126,7 +130,7 @@
 	for {
 		d.mu.Lock()
 		version, _ := d.state.Document()
-		hasNews := version > request.Version || d.state.Quarantine().Revision() > request.Quarantine || d.fleet.viewer.HasNewerView(viewPosition(request)) || d.leading != wasLeading
+		hasNews := version > request.Version || d.state.Quarantine().Revision() > request.Quarantine || d.hasNewEvacuations(request) || d.fleet.viewer.HasNewerView(viewPosition(request)) || d.leading != wasLeading
 		changed := d.fleet.changed
 		d.mu.Unlock()
 		if hasNews {
@@ -174,6 +178,10 @@
 // quarantine from the log.
 const skipQuarantine = math.MaxInt
 
+// followsLog reports whether a follow request is from a voter, which has the evacuations
+// from the log.
+func followsLog(request messenger.FleetRequest) bool { return request.Quarantine == skipQuarantine }
+
 // followLeaderOnce requests one update of the view from the leader or, if none is
 // known, from any control process, and reports whether it received one.
 func (d *Director) followLeaderOnce(ctx context.Context, leader string) bool {
@@ -187,6 +195,7 @@
 	if d.journal == nil {
 		request.Version, _ = d.state.Document()
 		request.Quarantine = d.state.Quarantine().Revision()
+		request.Evacuations = d.state.Evacuations().Revision()
 	}
 	d.mu.Unlock()
 	for _, target := range targets {
@@ -248,6 +257,9 @@
 		d.state.ApplyQuarantine(*response.Quarantine)
 		d.quarantineChanged()
 	}
+	if d.journal == nil && response.Evacuations != nil {
+		d.applyEvacuations(*response.Evacuations)
+	}
 	if d.fleet.viewer.Update(viewer.ApplyMsg{Changes: *response.Changes}) {
 		d.fleet.notifyWaiters()
 	}
--- /dev/null
+++ b/internal/gatekeeper/evacuate.go
@@ -0,0 +1,53 @@
+package gatekeeper
+
+import (
+	"strings"
+	"time"
+
+	"papayaseam/internal/chooser"
+	"papayaseam/internal/evacuator"
+	"papayaseam/internal/messenger"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// phaseOutShare is the part of the bound on an evacuation over which its requests end,
+	// from the moment at which the entry learns of it.
+	phaseOutShare = 0.4
+	// contactShare bounds the phase-out of an entry that learned late: it ends at this part
+	// of the bound after the last confirmation without the evacuation, which was committed
+	// later. The rest is for requests that are being sent, and for slow machines.
+	contactShare = 0.6
+	// maxLoggedDomains bounds the names in one log line.
+	maxLoggedDomains = 8
+)
+
+// evacuatedReason is why a request is refused that only evacuated endpoints serve.
+const evacuatedReason = "all endpoints that serve it are in evacuated failure domains"
+
+// applyEvacuations takes newer evacuations of control. Like the view of the fleet, they
+// need no confirmation: a process knows none that was not committed. The lock mu is held.
+func (g *Gatekeeper) applyEvacuations(list messenger.EvacuationList, now time.Duration) {
+	if !g.evacuations.Update(evacuator.ApplyMsg{List: list}) {
+		return
+	}
+	domains := g.evacuations.Domains()
+	end := g.phaseOutEnd(now)
+	g.chooser.Update(chooser.EvacuationMsg{Now: now, Domains: domains, PhaseOutEnd: end})
+	metrics.GetOrCreateGauge("papayaseam_evacuated_domains", nil).Set(float64(len(domains)))
+	g.log.Info("evacuations applied", "revision", list.Revision, "evacuated", len(domains),
+		"failure-domains", strings.Join(domains[:min(len(domains), maxLoggedDomains)], ","), "phase-out-ms", max(end-now, 0).Milliseconds())
+}
+
+// phaseOutEnd returns when the last request may be sent to a failure domain of whose
+// evacuation this entry learns now. An entry without a configuration has sent nothing that
+// could be phased out.
+func (g *Gatekeeper) phaseOutEnd(now time.Duration) time.Duration {
+	active := g.active.Load()
+	if active == nil || active.config == nil {
+		return now
+	}
+	share := func(part float64) time.Duration { return time.Duration(part * float64(g.cfg.EvacuateWithin)) }
+	return min(now+share(phaseOutShare), active.confirmedAt+share(contactShare))
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -22,6 +22,7 @@
 
 	"papayaseam/internal/chooser"
 	"papayaseam/internal/describer"
+	"papayaseam/internal/evacuator"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/retrier"
 	"papayaseam/internal/throttler"
@@ -109,7 +110,10 @@
 	Seeds         []string      // Seeds are the internal addresses of the control processes to contact first.
 	Lease         time.Duration // Lease is how long after its confirmation a configuration may authenticate requests.
 	RetryRatio    float64       // RetryRatio is the declared number of retries per request.
-	Decode        func(document []byte) (*describer.Configuration, error)
+	// EvacuateWithin is the time after which nothing more may be sent to an evacuated failure
+	// domain.
+	EvacuateWithin time.Duration
+	Decode         func(document []byte) (*describer.Configuration, error)
 }
 
 // activeConfig is the configuration in use and the time of its last confirmation.
@@ -147,6 +151,7 @@
 	checks        map[bootKey]*listenerCheck
 	quarantine    *quarantine
 	doubts        *doubts
+	evacuations   *evacuator.Evacuator
 }
 
 type demandKey struct{ service, model string }
@@ -170,6 +175,7 @@
 		chooser:        chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name)), chooser.WithName(cfg.Name)), retryBudget: retrier.New(cfg.RetryRatio*retryRatioShare, maxEarnedRetries),
 		throttler: throttler.New(), clientRetries: newClientRetryDetector(), streams: map[*streamAttempt]struct{}{}, observations: map[string]*observation{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
 		checks: map[bootKey]*listenerCheck{}, quarantine: newQuarantine(logger), doubts: newDoubts(),
+		evacuations: evacuator.New(),
 	}
 }
 
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -334,6 +334,8 @@
 	switch {
 	case !found && !g.chooser.HasCandidate(request.Service, request.Model):
 		return "no endpoint serves it"
+	case !found && g.chooser.Evacuated(request.Service, request.Model):
+		return evacuatedReason
 	case !found && g.allStayAway(e, request):
 		return "all endpoints want no requests for a while"
 	case !found:
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -93,6 +93,7 @@
 	request := messenger.FleetRequest{
 		Process: g.cfg.Name, View: position.ViewRevision, Loads: position.LoadRevision, Term: position.Term, WaitMs: int(syncLongPoll / time.Millisecond),
 		Sightings: g.sightings(sentAt), Demand: g.resetDemand(), Quarantine: g.quarantine.shared.Revision(),
+		Evacuations: g.evacuations.Revision(),
 	}
 	g.mu.Unlock()
 	active := g.active.Load()
@@ -192,6 +193,9 @@
 		g.quarantine.apply(*response.Quarantine)
 		g.cancelHeld()
 	}
+	if response.Evacuations != nil {
+		g.applyEvacuations(*response.Evacuations, timekeeper.Now())
+	}
 	if response.Changes == nil {
 		return
 	}
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -11,6 +11,9 @@
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
+	// The newest revision of the evacuations.
+	Evacuations int `json:"evacuations,omitempty,omitzero"`
+
 	// Leader corresponds to the JSON schema field "leader".
 	Leader string `json:"leader,omitempty,omitzero"`
 
@@ -216,6 +219,49 @@
 	Slots int `json:"slots,omitempty,omitzero"`
 }
 
+// An order to send nothing more to the endpoints of a failure domain, or its
+// revocation.
+type Evacuation struct {
+	// Active corresponds to the JSON schema field "active".
+	Active bool `json:"active,omitempty,omitzero"`
+
+	// FailureDomain corresponds to the JSON schema field "failure-domain".
+	FailureDomain string `json:"failure-domain,omitempty,omitzero"`
+
+	// The revision of the last change.
+	Modified int `json:"modified,omitempty,omitzero"`
+}
+
+// Whether an order on a failure domain was in force after it arrived.
+type EvacuationAnswer struct {
+	// Accepted corresponds to the JSON schema field "accepted".
+	Accepted bool `json:"accepted,omitempty,omitzero"`
+
+	// The known failure domains.
+	FailureDomains []string `json:"failure-domains,omitempty,omitzero"`
+
+	// There is no such failure domain.
+	Unknown bool `json:"unknown,omitempty,omitzero"`
+}
+
+// The last order for each failure domain that ever had one.
+type EvacuationList struct {
+	// FailureDomains corresponds to the JSON schema field "failure-domains".
+	FailureDomains []Evacuation `json:"failure-domains,omitempty,omitzero"`
+
+	// Revision corresponds to the JSON schema field "revision".
+	Revision int `json:"revision,omitempty,omitzero"`
+}
+
+// An operator's order on a failure domain, passed on to the leader.
+type EvacuationRequest struct {
+	// Evacuation corresponds to the JSON schema field "evacuation".
+	Evacuation *Evacuation `json:"evacuation,omitempty,omitzero"`
+
+	// Hops corresponds to the JSON schema field "hops".
+	Hops int `json:"hops,omitempty,omitzero"`
+}
+
 // What changed in the view of the fleet since the revisions that the asker named,
 // or the whole view.
 type FleetChanges struct {
@@ -268,6 +314,9 @@
 	// Endpoints that were heard at about the same time.
 	Endpoints []EndpointView `json:"endpoints,omitempty,omitzero"`
 
+	// Evacuation corresponds to the JSON schema field "evacuation".
+	Evacuation *Evacuation `json:"evacuation,omitempty,omitzero"`
+
 	// Quarantine corresponds to the JSON schema field "quarantine".
 	Quarantine *QuarantineCommand `json:"quarantine,omitempty,omitzero"`
 
@@ -283,6 +332,9 @@
 	// Demand corresponds to the JSON schema field "demand".
 	Demand []DemandReport `json:"demand,omitempty,omitzero"`
 
+	// The revision of the evacuations.
+	Evacuations int `json:"evacuations,omitempty,omitzero"`
+
 	// Loads corresponds to the JSON schema field "loads".
 	Loads int `json:"loads,omitempty,omitzero"`
 
@@ -322,6 +374,9 @@
 	// Entries corresponds to the JSON schema field "entries".
 	Entries int `json:"entries,omitempty,omitzero"`
 
+	// Evacuations corresponds to the JSON schema field "evacuations".
+	Evacuations *EvacuationList `json:"evacuations,omitempty,omitzero"`
+
 	// Leader corresponds to the JSON schema field "leader".
 	Leader string `json:"leader,omitempty,omitzero"`
 
@@ -343,6 +398,9 @@
 	// Endpoints corresponds to the JSON schema field "endpoints".
 	Endpoints []EndpointView `json:"endpoints,omitempty,omitzero"`
 
+	// Evacuations corresponds to the JSON schema field "evacuations".
+	Evacuations *EvacuationList `json:"evacuations,omitempty,omitzero"`
+
 	// Quarantine corresponds to the JSON schema field "quarantine".
 	Quarantine *QuarantineChanges `json:"quarantine,omitempty,omitzero"`
 
--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -59,7 +59,8 @@
 	delayed    []delayedOrder
 	orderDelay func() time.Duration // orderDelay returns the delay of an order; 0 delivers it at once.
 	demand     map[string]float64
-	streams    bool // streams means that each serving group delivers events all the time, of which the control process knows.
+	evacuated  []string // evacuated are the evacuated failure domains.
+	streams    bool     // streams means that each serving group delivers events all the time, of which the control process knows.
 	lastEvents map[string]time.Duration
 	violations []string // violations describes each breach of a rule.
 	orderCount int
@@ -154,7 +155,7 @@
 
 // planMsg returns the placer's input for the current state.
 func (c *cluster) planMsg() PlanMsg {
-	msg := PlanMsg{Now: c.now, Service: "s", Engine: testEngine, Demand: c.demand}
+	msg := PlanMsg{Now: c.now, Service: "s", Engine: testEngine, Demand: c.demand, Evacuated: c.evacuated}
 	if c.streams {
 		msg.LastEvents, msg.ProgressingHeads = c.sightings()
 	}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -57,13 +57,13 @@
 }
 
 // freeEndpoints returns the healthy endpoints that are in no group, by fabric
-// domain.
+// domain. Those of evacuated failure domains are left out.
 func (p *Placer) freeEndpoints() map[string][]tracker.Endpoint {
 	groupOf := p.groupsByInstance()
 	free := map[string][]tracker.Endpoint{}
 	for _, e := range p.msg.Endpoints {
 		isHealthy := p.health(Member{e.View.Instance, e.View.Born}) == healthy
-		if groupOf[e.View.Instance] != nil || p.isUnlistedMember(e) || !isHealthy || e.ReportedAt == 0 || e.FailingSince != 0 {
+		if groupOf[e.View.Instance] != nil || p.isUnlistedMember(e) || !isHealthy || e.ReportedAt == 0 || e.FailingSince != 0 || p.isEvacuated(e) {
 			continue
 		}
 		free[e.Report.FabricDomain] = append(free[e.Report.FabricDomain], e)
@@ -93,11 +93,11 @@
 }
 
 // ratios returns, by model, the number of instances in its groups divided by its
-// target. Closing groups do not count.
+// target. Closing groups, and those in evacuated failure domains, do not count.
 func (p *Placer) ratios() map[string]float64 {
 	instances := map[string]int{}
 	for _, g := range p.groups {
-		if g.State != Closing {
+		if g.State != Closing && !p.inEvacuated(g) {
 			instances[g.Model] += len(g.Members)
 		}
 	}
@@ -144,14 +144,14 @@
 // groups, so that a few large groups run at lower utilization than many small ones.
 func (p *Placer) targetInstances(model describer.Model) float64 {
 	if len(p.msg.Demand) == 0 {
-		return p.share(model) * float64(len(p.msg.Endpoints))
+		return p.share(model) * p.capacity()
 	}
 	totalDemand, totalReserve := 0.0, 0.0
 	for _, m := range p.msg.Engine.Models {
 		totalDemand += p.msg.Demand[m.Name]
 		totalReserve += p.reserve(m)
 	}
-	factor := max((float64(len(p.msg.Endpoints))-totalDemand)/max(totalReserve, 1), minReserveFactor)
+	factor := max((p.capacity()-totalDemand)/max(totalReserve, 1), minReserveFactor)
 	return p.msg.Demand[model.Name] + factor*p.reserve(model)
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -154,6 +154,7 @@
 	ProgressingHeads map[string]bool          // ProgressingHeads holds the heads whose response streams are making progress.
 	StalledHeads     map[string]bool          // StalledHeads holds the heads with several open streams, none of which makes progress.
 	KnownGroups      []messenger.GroupView    // KnownGroups are the groups that an earlier leader published.
+	Evacuated        []string                 // Evacuated are the failure domains whose endpoints get no requests.
 	ObserveOnly      bool                     // ObserveOnly adopts complete groups and sends no orders.
 	HadTraffic       bool                     // HadTraffic is set if clients were served before, including by an earlier leader.
 }
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -77,11 +77,14 @@
 	return ok && p.msg.Now-preemptedAt < preemptionCooldown
 }
 
-// domains returns the fabric domains that have groups, sorted.
+// domains returns the fabric domains that have groups outside evacuated failure domains,
+// sorted.
 func (p *Placer) domains() []string {
 	domains := map[string]bool{}
 	for _, g := range p.groups {
-		domains[g.FabricDomain] = true
+		if !p.inEvacuated(g) {
+			domains[g.FabricDomain] = true
+		}
 	}
 	return slices.Sorted(maps.Keys(domains))
 }
@@ -141,7 +144,7 @@
 
 // isPreemptible reports whether a group may be preempted for the neediest model.
 func (p *Placer) isPreemptible(g *Group, neediest describer.Model) bool {
-	return g.State == Open && g.Model != neediest.Name && p.msg.Now-g.StateSince >= minServingTime && p.allHealthy(g)
+	return g.State == Open && g.Model != neediest.Name && p.msg.Now-g.StateSince >= minServingTime && !p.inEvacuated(g) && p.allHealthy(g)
 }
 
 // preemptionCooldown is the pause between preemptions in a fabric domain. It keeps
--- a/internal/placer/stage.go
+++ b/internal/placer/stage.go
@@ -50,10 +50,11 @@
 	}
 }
 
-// canLoad reports whether a host can start a load now.
+// canLoad reports whether a host can start a load now. Hosts in evacuated failure domains
+// start none, so that the store's limit is left to the others.
 func (p *Placer) canLoad(e tracker.Endpoint) bool {
 	_, pending := p.pendingLoads[e.View.Instance]
-	return !pending && e.ReportedAt != 0 && !e.Report.Busy && p.health(Member{e.View.Instance, e.View.Born}) == healthy
+	return !pending && !p.isEvacuated(e) && e.ReportedAt != 0 && !e.Report.Busy && p.health(Member{e.View.Instance, e.View.Born}) == healthy
 }
 
 // dropEndedLoads drops pending loads that are complete or timed out, or whose host is
--- a/internal/runner/direct.go
+++ b/internal/runner/direct.go
@@ -60,6 +60,7 @@
 	s := p.settings.Direct
 	d, err := director.New(director.Config{
 		Name: p.settings.Name, FailureDomain: p.settings.FailureDomain, Address: s.Address, ListenAddress: s.Listen, Seeds: s.Seeds, FirstStart: s.First, DataFolder: s.DataFolder,
+		FailureDomains:  s.FailureDomains,
 		ToleratedLosses: s.Losses, GroupStallTimeout: s.BreakAfter, Decode: platform.DecodeConfiguration,
 	}, platform.NewEndpoints(), p.log)
 	if err != nil {
@@ -79,7 +80,7 @@
 	s := p.settings.Direct
 	g := gatekeeper.New(gatekeeper.Config{
 		Name: p.settings.Name, FailureDomain: p.settings.FailureDomain, Seeds: s.Seeds, Lease: s.Lease,
-		RetryRatio: s.RetryRatio, Decode: platform.DecodeConfiguration,
+		RetryRatio: s.RetryRatio, EvacuateWithin: s.EvacuateWithin, Decode: platform.DecodeConfiguration,
 	}, platform.Dialect{}, p.log)
 	p.reseed = append(p.reseed, g.SetSeeds)
 	p.drainers = append(p.drainers, g)
