Director, chooser: share the request rate of cold endpoints among entries

A server that returns during traffic is cold for some seconds and takes a declared number of requests per second from all entries together. Entries did not know of cold endpoints, and each sent what its load allowed: a cold server got 56 requests in one second where at most 53 are allowed.

The platform's cold fields are decoded. The leader tracks which boots are cold, the view tells entries, and internal/sharer divides the rate of the cold endpoints of each service and failure domain among entries by grants that expire after a second. An entry without a valid share sends nothing to a cold endpoint; with one, a token bucket for each cold endpoint limits first tries, repeats and resumed streams. New groups get a warm head where they have one. Nothing of this is sent or decided where no service declares a cold rate.

Tests: go test -p 2 of platform, tracker, sharer, chooser, placer, director and gatekeeper pass. In virtual time 1 to 250 entries, each with more requests than it may send, let at most 53 requests a second reach a cold endpoint.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -156,11 +156,12 @@
 	inFlight   map[string]int // inFlight counts this entry's requests by endpoint.
 	entryCount int
 	notices    map[string]notice // notices holds what endpoints said of themselves, by endpoint.
+	cold       coldState
 }
 
 // New returns a chooser for an entry in the given failure domain.
 func New(domain string, opts ...Option) *Chooser {
-	c := &Chooser{options: defaults(), domain: domain, candidates: map[string]*candidate{}, inFlight: map[string]int{}, notices: map[string]notice{}}
+	c := &Chooser{options: defaults(), domain: domain, candidates: map[string]*candidate{}, inFlight: map[string]int{}, notices: map[string]notice{}, cold: newColdState()}
 	for _, opt := range opts {
 		opt(&c.options)
 	}
@@ -174,6 +175,7 @@
 		c.replaceFleet(msg)
 	case AttemptStartedMsg:
 		c.inFlight[msg.ID]++
+		c.cold.take(msg.ID)
 		if cand := c.candidates[msg.ID]; cand != nil {
 			cand.inFlight = c.inFlight[msg.ID]
 		}
@@ -181,6 +183,8 @@
 		c.endAttempt(msg)
 	case NoticeMsg:
 		c.addNotice(msg)
+	case ShareMsg:
+		c.cold.setShares(msg)
 	case LoadMsg:
 		if cand := c.candidates[msg.ID]; cand != nil {
 			cand.reported = msg.Running + msg.Waiting
@@ -249,6 +253,7 @@
 		}
 	}
 	c.ids = slices.Sorted(maps.Keys(c.candidates))
+	c.cold.replace(msg)
 	c.markPreferred()
 }
 
--- a/internal/describer/describer.go
+++ b/internal/describer/describer.go
@@ -100,7 +100,9 @@
 type Service struct {
 	Name           string
 	MaxConnections int
-	Engine         *Engine // Engine is nil for a service without model groups.
+	Engine         *Engine       // Engine is nil for a service without model groups.
+	ColdTime       time.Duration // ColdTime is how long an endpoint is cold after a start during traffic.
+	ColdRate       float64       // ColdRate is the number of requests per second that a cold endpoint takes from all entries; 0 if it is not limited.
 }
 
 // Organisation is a customer with its API keys.
--- a/internal/describer/number.go
+++ b/internal/describer/number.go
@@ -9,7 +9,7 @@
 // checkNumbers returns an error if a count, rate or time of the service is negative. Those
 // without a meaningful upper bound are not limited: they never bind.
 func (s Service) checkNumbers() error {
-	numbers := []number{{"connections", float64(s.MaxConnections)}}
+	numbers := []number{{"connections", float64(s.MaxConnections)}, {"cold time", float64(s.ColdTime)}, {"cold rate", s.ColdRate}}
 	if s.Engine != nil {
 		numbers = append(numbers, s.Engine.numbers()...)
 	}
--- a/internal/director/announce.go
+++ b/internal/director/announce.go
@@ -26,6 +26,7 @@
 	if registration.Endpoint == nil {
 		return messenger.RegistrationAnswer{Message: "the announcement names no endpoint; send one"}
 	}
+	registration = d.withoutUnusedCold(registration)
 	if _, leading := d.leaderAddress(); !leading {
 		return d.forwardAnnouncement(ctx, registration)
 	}
@@ -82,7 +83,7 @@
 	changed := false
 	if !registration.Gone {
 		view.Leaving = departed
-		changed = d.tracker().Update(tracker.AnnounceMsg{Now: now(), Endpoint: view, Report: registration.Report})
+		changed = d.tracker().Update(tracker.AnnounceMsg{Now: now(), Endpoint: view, Report: registration.Report, Cold: d.coldAnnouncement(registration)})
 	}
 	if departed {
 		changed = d.tracker().Update(tracker.LeaveMsg{ID: view.Instance, BootTime: view.Born}) || changed
@@ -102,7 +103,7 @@
 		return
 	}
 	d.fleet.recordedBoots[view.Instance] = view.Born
-	view.Sequence = 0
+	view.Sequence, view.Cold = 0, false
 	d.fleet.unrecordedEndpoints = append(d.fleet.unrecordedEndpoints, view)
 }
 
--- a/internal/director/collect.go
+++ b/internal/director/collect.go
@@ -32,6 +32,7 @@
 	alive    map[string]messenger.Liveness
 	demand   map[demandKey]float64 // demand is the requested work in milliseconds.
 	entries  int                   // entries is the number of running entries in the leader's last confirmation.
+	sharing  bool                  // sharing is set if the leader gives out shares of cold endpoints, as of its last confirmation.
 }
 
 type demandKey struct{ service, model string }
@@ -72,7 +73,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	accepted, ok := d.collector.accepted[r.Endpoint.Instance]
-	changed := !ok || r.Gone || r.Endpoint.Leaving || !accepted.equal(newAcceptedAnnouncement(d.leader, r))
+	changed := !ok || r.Gone || remainsCold(r) || r.Endpoint.Leaving || !accepted.equal(newAcceptedAnnouncement(d.leader, r))
 	if changed || now()-d.lastRoundAt > maxConfirmationAge {
 		return false
 	}
@@ -124,6 +125,7 @@
 		digest.Demand = append(digest.Demand, messenger.DemandReport{Service: key.service, Model: key.model, WorkMs: work})
 	}
 	digest.Alive = slices.Collect(maps.Values(d.collector.alive))
+	digest.EntryDemand = d.entryDemand()
 	clear(d.collector.demand)
 	clear(d.collector.alive)
 	return digest
@@ -155,7 +157,7 @@
 func (d *Director) addDemand(reports []messenger.DemandReport) {
 	for _, report := range reports {
 		if d.leading {
-			d.fleet.demand.work[report.Model] += report.WorkMs
+			d.addLeaderDemand(report)
 			continue
 		}
 		d.collector.demand[demandKey{report.Service, report.Model}] += report.WorkMs
@@ -170,7 +172,7 @@
 	}
 	d.addDemand(digest.Demand)
 	for _, a := range digest.Alive {
-		if e, ok := d.tracker().Endpoint(a.Instance); !ok || e.View.Born != a.Born {
+		if e, ok := d.tracker().Endpoint(a.Instance); !ok || e.View.Born != a.Born || e.ColdAwaited() {
 			unknown = append(unknown, a.Instance)
 			continue
 		}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -36,7 +36,8 @@
 }
 
 // decodeNumbered decodes documents of the form "VERSION TEXT"; the text "invalid"
-// yields a configuration that fails its check.
+// yields a configuration that fails its check, and "cold" one with a service whose cold
+// endpoints are limited.
 func decodeNumbered(document []byte) (*describer.Configuration, error) {
 	config := &describer.Configuration{}
 	var text string
@@ -46,6 +47,9 @@
 	if text == "invalid" {
 		config.Routes = []describer.Route{{Name: "r"}}
 	}
+	if text == "cold" {
+		config.Services = []describer.Service{{Name: "desk", ColdTime: 3 * time.Second, ColdRate: 32}}
+	}
 	return config, nil
 }
 
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -83,13 +83,14 @@
 	recordedBoots       map[string]int           // recordedBoots maps instances to the boots whose addresses are in the log or queued for it.
 	unrecordedEndpoints []messenger.EndpointView // unrecordedEndpoints are boots whose addresses are queued for the log.
 	trafficProposedAt   time.Duration            // trafficProposedAt is when this leader last proposed to record that clients are served.
+	cold                coldFleet
 }
 
 func newFleet() fleet {
 	return fleet{
 		tracker: tracker.New(), placers: map[string]*placer.Placer{}, viewer: viewer.New(), prober: prober.New(),
 		changed: make(chan struct{}), entries: map[string]entryState{}, relays: map[string]relayState{},
-		demand: demandMeter{work: map[string]float64{}}, recordedBoots: map[string]int{},
+		demand: demandMeter{work: map[string]float64{}}, recordedBoots: map[string]int{}, cold: newColdFleet(),
 	}
 }
 
@@ -111,6 +112,7 @@
 		view := e.View
 		view.Sequence = 0
 		view.FabricDomain = e.Report.FabricDomain
+		view.Cold = d.isCold(e)
 		endpoints = append(endpoints, view)
 	}
 	msg := viewer.PublishMsg{Term: f.term, Partial: f.partial, Endpoints: endpoints, Groups: d.groupViews(), Controls: d.liveControls()}
@@ -150,6 +152,7 @@
 	f.lastNewEndpointAt = now()
 	f.demand = demandMeter{work: map[string]float64{}, windowStart: now(), lastRates: f.demand.lastRates}
 	f.prober = prober.New()
+	f.cold.startLeadership()
 	f.relays = map[string]relayState{}
 	f.recordedBoots = map[string]int{}
 	f.unrecordedEndpoints = nil
@@ -183,6 +186,7 @@
 	if !d.leading || d.config == nil {
 		return
 	}
+	d.updateColdPools()
 	settled := d.settled()
 	if !settled && f.inherited {
 		return
@@ -232,6 +236,7 @@
 	}
 	for _, e := range d.tracker().Endpoints() {
 		if e.View.Service == service.Name {
+			e.View.Cold = d.isCold(e)
 			msg.Endpoints = append(msg.Endpoints, e)
 		}
 	}
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -276,7 +276,7 @@
 func (d *Director) trackRecordedEndpoint(view messenger.EndpointView) {
 	view.Sequence = -1
 	view.Leaving = view.Leaving || d.state.Departed(view.Instance, view.Born)
-	d.tracker().Update(tracker.AnnounceMsg{Now: now(), Endpoint: view})
+	d.tracker().Update(tracker.AnnounceMsg{Now: now(), Endpoint: view, Cold: d.inheritedCold(view)})
 }
 
 // loadConfiguration decodes the newest committed configuration and keeps the current
--- a/internal/director/round.go
+++ b/internal/director/round.go
@@ -87,7 +87,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.collector.entries = c.Entries
+	d.collector.entries, d.collector.sharing = c.Entries, c.Sharing
 	for _, id := range c.Unknown {
 		delete(d.collector.accepted, id)
 	}
@@ -153,8 +153,11 @@
 	d.mu.Lock()
 	leading, leader := d.leading, enroller.AddressOf(d.leader)
 	var unknown []string
+	var shares []messenger.ColdShare
+	sharing := false
 	if leading {
 		unknown = d.applyDigest(digest)
+		shares, sharing = d.grantShares(digest)
 	}
 	d.mu.Unlock()
 	if !leading {
@@ -164,6 +167,6 @@
 	if err != nil {
 		return messenger.Confirmation{}
 	}
-	c.Unknown = unknown
+	c.Unknown, c.Shares, c.Sharing = unknown, shares, sharing
 	return c
 }
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -50,7 +50,9 @@
 	response.Entries = c.Entries
 	if err != nil {
 		response.Document, response.Version = "", 0
+		return response
 	}
+	response.Shares = d.sharesOf(request.Process, c)
 	return response
 }
 
@@ -115,6 +117,7 @@
 	}
 	d.fleet.entries[request.Process] = entryState{receivedAt: now(), sightings: request.Sightings}
 	d.addDemand(request.Demand)
+	d.meterDemand(request)
 }
 
 // waitForChange returns when there is something new for the caller, when this process
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -29,12 +29,16 @@
 )
 
 // testConfiguration decodes every document to the same configuration, but that version 4
-// has another key.
+// has another key, and version 5 limits the cold endpoints of its services.
 func testConfiguration(document []byte) (*describer.Configuration, error) {
 	version, key := 3, "k1"
 	if string(document) == "4" {
 		version, key = 4, "k4"
 	}
+	coldTime, coldRate := time.Duration(0), 0.0
+	if string(document) == "5" {
+		version, coldTime, coldRate = 5, 3*time.Second, 32
+	}
 	splits := func(service string) []describer.Split { return []describer.Split{{Service: service, Weight: 1}} }
 	model := describer.Model{Name: "m", GroupSize: 2, InitialShare: 1, TimeFactor: 1, ColdLoadTime: time.Second, WarmLoadTime: time.Second}
 	return &describer.Configuration{
@@ -47,7 +51,10 @@
 			{Name: "verse", Host: "a.example", Prefix: "/verse/", Kind: describer.KindStreaming, Timeout: 4 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2, Resumable: true, Splits: splits("writers")},
 			{Name: "once", Host: "a.example", Prefix: "/once/", Kind: describer.KindStreaming, Timeout: 4 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2, Splits: splits("writers")},
 		},
-		Services:      []describer.Service{{Name: "desk"}, {Name: "writers", Engine: &describer.Engine{Slots: 8, Models: []describer.Model{model}}}},
+		Services: []describer.Service{
+			{Name: "desk", ColdTime: coldTime, ColdRate: coldRate},
+			{Name: "writers", ColdTime: coldTime, ColdRate: coldRate, Engine: &describer.Engine{Slots: 8, Models: []describer.Model{model}}},
+		},
 		RequiresKeys:  true,
 		Organisations: []describer.Organisation{{Name: "press", Keys: []string{key}}},
 		Limits:        describer.Limits{MaxBodyBytes: 1000},
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -207,6 +207,7 @@
 	e.clientRetry = g.clientRetries.isRetry(e.route.Name, e.metadata.Timeout, e.startedAt)
 	g.retryBudget.RecordRequest(e.service.Name)
 	if e.service.Engine == nil {
+		g.recordPlainDemand(e.service)
 		return
 	}
 	model, ok := e.service.Engine.Model(e.metadata.Model)
@@ -336,6 +337,8 @@
 		return "no endpoint serves it"
 	case !found && g.allStayAway(e, request):
 		return "all endpoints want no requests for a while"
+	case !found && g.allCold(e, request):
+		return "all endpoints that serve it are cold and take no more requests now"
 	case !found:
 		return "no endpoint has a free place"
 	case e.attempts > 0 && !g.retryBudget.TrySpend(e.service.Name):
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -113,6 +113,7 @@
 			g.applyFleetChanges(response)
 		}
 		if err == nil && response.Confirmed && g.applyConfiguration(response, sentAt) {
+			g.applyShares(response, sentAt)
 			return true
 		}
 		g.log.Debug("sync with control process failed", "control", address, "confirmed", response.Confirmed, "err", err)
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -2,6 +2,28 @@
 
 package messenger
 
+// What an endpoint says of the time for which it is cold; absent where it says
+// nothing.
+type ColdReport struct {
+	// RemainingMs corresponds to the JSON schema field "remaining-ms".
+	RemainingMs int `json:"remaining-ms,omitempty,omitzero"`
+}
+
+// The part of the request rate of cold endpoints that one entry may use.
+type ColdShare struct {
+	// Empty in a response to the entry itself.
+	Entry string `json:"entry,omitempty,omitzero"`
+
+	// The failure domain of the endpoints.
+	FailureDomain string `json:"failure-domain,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service,omitempty,omitzero"`
+
+	// Share corresponds to the JSON schema field "share".
+	Share float64 `json:"share,omitempty,omitzero"`
+}
+
 // The answer to a digest. It is confirmed where a quorum did so after the digest
 // arrived.
 type Confirmation struct {
@@ -14,6 +36,12 @@
 	// Leader corresponds to the JSON schema field "leader".
 	Leader string `json:"leader,omitempty,omitzero"`
 
+	// The shares of the entries that the digest named.
+	Shares []ColdShare `json:"shares,omitempty,omitzero"`
+
+	// Shares of cold endpoints are given out
+	Sharing bool `json:"sharing,omitempty,omitzero"`
+
 	// Endpoints that must announce themselves in full.
 	Unknown []string `json:"unknown,omitempty,omitzero"`
 
@@ -91,6 +119,9 @@
 	// Entries corresponds to the JSON schema field "entries".
 	Entries []string `json:"entries,omitempty,omitzero"`
 
+	// The demand by entry; absent while no shares are given out.
+	EntryDemand []EntryDemand `json:"entry-demand,omitempty,omitzero"`
+
 	// Sightings corresponds to the JSON schema field "sightings".
 	Sightings []Sighting `json:"sightings,omitempty,omitzero"`
 }
@@ -194,6 +225,9 @@
 	// Born corresponds to the JSON schema field "born".
 	Born int `json:"born,omitempty,omitzero"`
 
+	// The endpoint may only get requests at its service's cold rate.
+	Cold bool `json:"cold,omitempty,omitzero"`
+
 	// FabricDomain corresponds to the JSON schema field "fabric-domain".
 	FabricDomain string `json:"fabric-domain,omitempty,omitzero"`
 
@@ -216,6 +250,18 @@
 	Slots int `json:"slots,omitempty,omitzero"`
 }
 
+// The work that clients asked of one service at one entry, per second.
+type EntryDemand struct {
+	// Entry corresponds to the JSON schema field "entry".
+	Entry string `json:"entry,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service,omitempty,omitzero"`
+
+	// WorkMs corresponds to the JSON schema field "work-ms".
+	WorkMs float64 `json:"work-ms,omitempty,omitzero"`
+}
+
 // What changed in the view of the fleet since the revisions that the asker named,
 // or the whole view.
 type FleetChanges struct {
@@ -328,6 +374,9 @@
 	// Quarantine corresponds to the JSON schema field "quarantine".
 	Quarantine *QuarantineChanges `json:"quarantine,omitempty,omitzero"`
 
+	// The entry's shares of cold endpoints; absent where none is cold.
+	Shares []ColdShare `json:"shares,omitempty,omitzero"`
+
 	// Version corresponds to the JSON schema field "version".
 	Version int `json:"version,omitempty,omitzero"`
 }
@@ -526,6 +575,9 @@
 
 // What an endpoint says of itself, passed on between control processes.
 type Registration struct {
+	// Cold corresponds to the JSON schema field "cold".
+	Cold *ColdReport `json:"cold,omitempty,omitzero"`
+
 	// Endpoint corresponds to the JSON schema field "endpoint".
 	Endpoint *EndpointView `json:"endpoint,omitempty,omitzero"`
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -304,7 +304,7 @@
 		FailureDomain: members[0].View.FailureDomain, FabricDomain: members[0].Report.FabricDomain,
 	}
 	slowestJoin := time.Duration(0)
-	for _, e := range members {
+	for _, e := range warmHeadFirst(members) {
 		g.Members = append(g.Members, Member{e.View.Instance, e.View.Born})
 		joinTime := p.joinTime(e, model)
 		slowestJoin = max(slowestJoin, joinTime)
--- a/internal/tracker/messages.go
+++ b/internal/tracker/messages.go
@@ -14,6 +14,7 @@
 	Now      time.Duration
 	Endpoint messenger.EndpointView
 	Report   *messenger.EndpointReport // Report is nil if the announcement has no state.
+	Cold     ColdAnnouncement
 }
 
 // HeartbeatMsg records an announcement that repeats the previous one.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -14,7 +14,6 @@
 package tracker
 
 import (
-	"slices"
 	"time"
 
 	"papayaseam/internal/messenger"
@@ -37,6 +36,7 @@
 	reportedOrders int           // reportedOrders is the highest count of accepted orders that the endpoint reported.
 	orderStartedAt time.Duration // orderStartedAt is when the endpoint last started an order.
 	leaveSent      membership    // leaveSent is the membership that the endpoint was ordered to leave, until it has left.
+	cold           coldState
 }
 
 // membership is the group that an endpoint belongs to and its state there.
@@ -105,6 +105,8 @@
 		t.orderStarted(msg)
 	case ExpireMsg:
 		return t.expire(msg)
+	case MaybeColdMsg:
+		return t.maybeCold(msg)
 	}
 	return false
 }
@@ -126,7 +128,8 @@
 	if known {
 		t.releaseAddress(e.View)
 	}
-	if !known || e.View.Born != view.Born {
+	firstSeen := !known || e.View.Born != view.Born
+	if firstSeen {
 		e = &Endpoint{}
 		t.add(view.Instance, e)
 	}
@@ -136,7 +139,7 @@
 	before.Sequence = view.Sequence
 	e.View = view
 	e.heardFrom(msg.Now)
-	changed := before != view
+	changed := e.announceCold(msg.Cold, firstSeen, msg.Now) || before != view
 	if msg.Report != nil {
 		changed = t.applyAnnounced(e, *msg.Report, msg.Now) || changed
 	}
@@ -213,46 +216,6 @@
 	return report
 }
 
-// claimAddress removes an earlier boot of another endpoint from the address. It
-// returns false if a later boot uses the address.
-func (t *Tracker) claimAddress(view messenger.EndpointView) bool {
-	id, used := t.byAddress[view.Address]
-	if !used || id == view.Instance {
-		return true
-	}
-	if t.endpoints[id].View.Born > view.Born {
-		return false
-	}
-	t.endBoot(id)
-	return true
-}
-
-// add inserts or replaces an endpoint in the table.
-func (t *Tracker) add(id string, e *Endpoint) {
-	if _, known := t.endpoints[id]; !known {
-		i, _ := slices.BinarySearch(t.ids, id)
-		t.ids = slices.Insert(t.ids, i, id)
-	}
-	t.endpoints[id] = e
-}
-
-// remove deletes an endpoint from the table.
-func (t *Tracker) remove(id string) {
-	if i, ok := slices.BinarySearch(t.ids, id); ok {
-		t.ids = slices.Delete(t.ids, i, i+1)
-	}
-	t.releaseAddress(t.endpoints[id].View)
-	delete(t.endpoints, id)
-}
-
-// releaseAddress frees the address of an endpoint unless another endpoint has
-// claimed it.
-func (t *Tracker) releaseAddress(view messenger.EndpointView) {
-	if t.byAddress[view.Address] == view.Instance {
-		delete(t.byAddress, view.Address)
-	}
-}
-
 // setReport stores a state and reports whether the membership changed.
 func (t *Tracker) setReport(e *Endpoint, report messenger.EndpointReport, now time.Duration) bool {
 	changed := e.Report.Group != report.Group || e.Report.Epoch != report.Epoch || e.Report.State != report.State
