--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -161,11 +161,13 @@
 	evacuations map[string]phaseOut // evacuations holds the evacuated failure domains.
 	latest      time.Duration       // latest is the latest time that a message or a request carried.
 	closedCount int                 // closedCount is the number of closed failure domains as the preferred groups were marked.
+
+	cold coldState
 }
 
 // New returns a chooser for an entry in the given failure domain.
 func New(domain string, opts ...Option) *Chooser {
-	c := &Chooser{options: defaults(), domain: domain, candidates: map[string]*candidate{}, inFlight: map[string]int{}, notices: map[string]notice{}}
+	c := &Chooser{options: defaults(), domain: domain, candidates: map[string]*candidate{}, inFlight: map[string]int{}, notices: map[string]notice{}, cold: newColdState()}
 	for _, opt := range opts {
 		opt(&c.options)
 	}
@@ -179,6 +181,7 @@
 		c.replaceFleet(msg)
 	case AttemptStartedMsg:
 		c.inFlight[msg.ID]++
+		c.cold.take(msg.ID)
 		if cand := c.candidates[msg.ID]; cand != nil {
 			cand.inFlight = c.inFlight[msg.ID]
 		}
@@ -188,6 +191,8 @@
 		c.addNotice(msg)
 	case EvacuationMsg:
 		c.evacuate(msg)
+	case ShareMsg:
+		c.cold.setShares(msg)
 	case LoadMsg:
 		if cand := c.candidates[msg.ID]; cand != nil {
 			cand.reported = msg.Running + msg.Waiting
@@ -257,6 +262,7 @@
 		}
 	}
 	c.ids = slices.Sorted(maps.Keys(c.candidates))
+	c.cold.replace(msg)
 	c.markPreferred()
 }
 
--- a/internal/chooser/draw.go
+++ b/internal/chooser/draw.go
@@ -28,7 +28,7 @@
 	weights := make([]float64, len(c.ids))
 	for i, id := range c.ids {
 		cand := c.candidates[id]
-		if cand.service != req.Service || cand.model != req.Model || slices.Contains(req.Exclude, id) || cand.retryAt > req.Now || c.StaysAway(cand.target, req.Now) || slices.Contains(excluded, cand.domain) {
+		if cand.service != req.Service || cand.model != req.Model || slices.Contains(req.Exclude, id) || cand.retryAt > req.Now || c.StaysAway(cand.target, req.Now) || slices.Contains(excluded, cand.domain) || !c.cold.allows(id, req.Now) {
 			continue
 		}
 		weights[i] = c.weight(cand, req.Urgency, freeCap, fallback)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -187,8 +187,8 @@
 	holdTimer   *quarantiner.Timer
 	quarantine  *quarantineBatch // quarantine is the batch that reports can still join; nil if there is none.
 	// crashedBoots holds the boots that count as crashed; empty unless this process leads.
-	crashedBoots map[string]*crashedBoot
-	revocations  map[string]revocation // revocations maps failure domains to the ends of their last evacuations.
+	crashedBoots      map[string]*crashedBoot
+	evacuationChanges map[string]evacuationChange // evacuationChanges maps failure domains to the last orders on them.
 }
 
 // New opens the journal, if there is a data folder, and prepares the process. Run
@@ -199,7 +199,7 @@
 		inbox: make(chan any, inboxCapacity), peerQueues: map[string]chan messenger.ReplicaMessage{}, exited: make(chan string, exitedCapacity), orderSlots: make(chan struct{}, maxConcurrentOrders), planTrigger: make(chan struct{}, 1), pollTrigger: make(chan struct{}, 1),
 		proposals: map[uint64]chan result{}, reads: map[uint64][]chan result{}, waiters: map[int]waiter{},
 		seeds: cfg.Seeds, lastHeard: map[string]time.Duration{}, state: cataloguer.New(), fleet: newFleet(), collector: newCollector(), holdTimer: quarantiner.NewTimer(),
-		crashedBoots: map[string]*crashedBoot{}, revocations: map[string]revocation{},
+		crashedBoots: map[string]*crashedBoot{}, evacuationChanges: map[string]evacuationChange{},
 	}
 	d.rounds = batcher.New(minRoundInterval, d.runRound)
 	if cfg.DataFolder == "" {
--- a/internal/director/evacuate.go
+++ b/internal/director/evacuate.go
@@ -127,22 +127,23 @@
 	return slices.Sorted(maps.Keys(known)), certain
 }
 
-// revocation is the end of an evacuation as this process learned of it.
-type revocation struct {
+// evacuationChange is the last order on a failure domain as this process learned of it.
+type evacuationChange struct {
 	revision int
+	active   bool
 	at       time.Duration
 }
 
-// evacuationsChanged records which evacuations were revoked, and wakes the entries that
+// evacuationsChanged records when evacuations began or were revoked, and wakes the entries that
 // wait for a change and the next plan. The caller holds mu.
 func (d *Director) evacuationsChanged() {
 	evacuations := d.state.Evacuations()
 	for _, r := range evacuations.Records() {
-		if !r.Active && d.revocations[r.FailureDomain].revision < r.Modified {
-			d.revocations[r.FailureDomain] = revocation{revision: r.Modified, at: now()}
+		if d.evacuationChanges[r.FailureDomain].revision < r.Modified {
+			d.evacuationChanges[r.FailureDomain] = evacuationChange{revision: r.Modified, active: r.Active, at: now()}
 		}
 	}
-	maps.DeleteFunc(d.revocations, func(domain string, _ revocation) bool { return !evacuations.Known(domain) })
+	maps.DeleteFunc(d.evacuationChanges, func(domain string, _ evacuationChange) bool { return !evacuations.Known(domain) })
 	domains := evacuations.Domains()
 	setGauge("papayaseam_evacuated_domains", float64(len(domains)))
 	d.log.Info("evacuations changed", "revision", evacuations.Revision(), "evacuated", len(domains), "failure-domains", firstNames(domains))
@@ -173,12 +174,3 @@
 func firstNames(names []string) string {
 	return strings.Join(names[:min(len(names), maxLoggedNames)], ",")
 }
-
-// evacuationEndedAt returns when this process learned that the last evacuation of a
-// failure domain was revoked, by its own clock. A process that reads the revocation from
-// its snapshot or log learns of it then, which is later than it was committed. It returns
-// false while the failure domain is evacuated, and if it never was. The caller holds mu.
-func (d *Director) evacuationEndedAt(domain string) (time.Duration, bool) {
-	r, ok := d.revocations[domain]
-	return r.at, ok && !d.state.Evacuations().Evacuated(domain)
-}
