Apportioner: the virtual time of weighted shares in a package of its own

Cause: an entry needs weighted shares between organisations as a group's leader does, and the accounting was part of the leader's queue.

Change: accounts, the clock and the max-min level are in internal/apportioner; admitter uses them and keeps no accounting of its own. An entry draws its random numbers from a field, so that a test can replay its decisions.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -22,6 +22,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"papayaseam/internal/apportioner"
 )
 
 // State is the lifecycle state of an attempt.
@@ -69,13 +71,12 @@
 
 // orgState is the queue and the fair-share accounting of one organisation.
 type orgState struct {
-	weight      int
-	limit       int // limit bounds the running attempts; 0 means unlimited.
-	running     int
-	virtualTime float64 // virtualTime grows by 1/weight with each start.
-	queue       []*record
-	activeUntil time.Duration // activeUntil is when the organisation stops counting as active.
-	urgentUntil time.Duration // urgentUntil is when the reservation for urgent attempts ends.
+	apportioner.Account     // Account is charged 1 with each start.
+	limit               int // limit bounds the running attempts; 0 means unlimited.
+	running             int
+	queue               []*record
+	activeUntil         time.Duration // activeUntil is when the organisation stops counting as active.
+	urgentUntil         time.Duration // urgentUntil is when the reservation for urgent attempts ends.
 }
 
 // Machine is the admission state machine of one group. Times are relative to an
@@ -91,8 +92,8 @@
 	queued           int
 	runningSuspects  int
 	seq              int
-	virtualTime      float64 // virtualTime is the highest one at which an attempt started.
-	activeWeight     int     // activeWeight is the sum of the weights of the active organisations.
+	clock            apportioner.Clock // clock is at the highest virtual time at which an attempt started.
+	activeWeight     int               // activeWeight is the sum of the weights of the active organisations.
 	serviceTime      time.Duration
 	closeReason      string // closeReason is empty while the group admits attempts.
 	effects          []Effect
@@ -119,7 +120,7 @@
 func (m *Machine) QueuedAhead() int {
 	n := 0
 	for _, org := range m.orgs {
-		if org.weight >= m.activeWeight || m.withinShare(org) {
+		if org.Weight >= m.activeWeight || m.withinShare(org) {
 			n += len(org.queue)
 		}
 	}
@@ -187,7 +188,7 @@
 func (m *Machine) org(organisation string) *orgState {
 	org, ok := m.orgs[organisation]
 	if !ok {
-		org = &orgState{weight: 1}
+		org = &orgState{Account: apportioner.Account{Weight: 1}}
 		m.orgs[organisation] = org
 	}
 	return org
@@ -247,12 +248,12 @@
 	if ahead == 0 && m.running < m.concurrencyLimit && !m.reservedForOthers(org) && !m.reservedForUrgent(now, org, rec) {
 		return 0
 	}
-	startTag := max(org.virtualTime, m.virtualTime) + float64(ahead)/float64(org.weight)
+	startTag := max(org.VirtualTime(), m.clock.Now()) + float64(ahead)/float64(org.Weight)
 	for _, other := range m.orgs {
 		if other == org || (m.withinShare(org) && !m.withinShare(other)) {
 			continue
 		}
-		queuedBefore := int(math.Ceil((startTag - other.virtualTime) * float64(other.weight)))
+		queuedBefore := int(math.Ceil((startTag - other.VirtualTime()) * float64(other.Weight)))
 		ahead += min(len(other.queue), max(0, queuedBefore))
 	}
 	return m.serviceTime * time.Duration(ahead+1) / time.Duration(max(1, m.concurrencyLimit))
@@ -278,7 +279,7 @@
 	rec.state = Queued
 	org := m.org(rec.Organisation)
 	if len(org.queue) == 0 && org.running == 0 {
-		org.virtualTime = max(org.virtualTime, m.virtualTime)
+		m.clock.CatchUp(&org.Account)
 	}
 	i, _ := slices.BinarySearchFunc(org.queue, rec, func(a, b *record) int {
 		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.seq, b.seq))
@@ -296,7 +297,7 @@
 		if len(org.queue) == 0 {
 			continue
 		}
-		if heaviest == nil || cmp.Or(cmp.Compare(len(org.queue)*heaviest.weight, len(heaviest.queue)*org.weight), cmp.Compare(name, heaviestName)) > 0 {
+		if heaviest == nil || cmp.Or(cmp.Compare(len(org.queue)*heaviest.Weight, len(heaviest.queue)*org.Weight), cmp.Compare(name, heaviestName)) > 0 {
 			heaviest, heaviestName = org, name
 		}
 	}
--- a/internal/admitter/start.go
+++ b/internal/admitter/start.go
@@ -32,7 +32,7 @@
 		if rec == nil || m.reservedForUrgent(now, org, rec) {
 			continue
 		}
-		if best == nil || org.virtualTime < bestOrg.virtualTime || (org.virtualTime == bestOrg.virtualTime && rec.seq < best.seq) {
+		if best == nil || org.VirtualTime() < bestOrg.VirtualTime() || (org.VirtualTime() == bestOrg.VirtualTime() && rec.seq < best.seq) {
 			best, bestOrg = rec, org
 		}
 	}
@@ -48,7 +48,7 @@
 			org.activeUntil = now + activityWindow
 		}
 		if org.activeUntil > now {
-			m.activeWeight += org.weight
+			m.activeWeight += org.Weight
 		}
 	}
 }
@@ -57,14 +57,14 @@
 // fairShareMultiple times its fair share. The multiple is needed because with many
 // organisations a fair share can be less than one running attempt.
 func (m *Machine) withinShare(org *orgState) bool {
-	return org.running*m.activeWeight < fairShareMultiple*m.concurrencyLimit*org.weight
+	return org.running*m.activeWeight < fairShareMultiple*m.concurrencyLimit*org.Weight
 }
 
 // reservedForOthers reports whether the remaining capacity is reserved for
 // organisations within their share, so that these need not wait until a response
 // to another organisation ends.
 func (m *Machine) reservedForOthers(org *orgState) bool {
-	return !m.withinShare(org) && org.weight < m.activeWeight && m.concurrencyLimit-m.running <= m.concurrencyLimit/reserveDivisor
+	return !m.withinShare(org) && org.Weight < m.activeWeight && m.concurrencyLimit-m.running <= m.concurrencyLimit/reserveDivisor
 }
 
 // reservedForUrgent reports whether the last unit of concurrency is reserved for an
@@ -89,8 +89,7 @@
 func (m *Machine) start(now time.Duration, rec *record) {
 	m.dequeue(rec)
 	org := m.org(rec.Organisation)
-	m.virtualTime = max(m.virtualTime, org.virtualTime)
-	org.virtualTime += 1 / float64(max(1, org.weight))
+	m.clock.Start(&org.Account, 1)
 	org.running++
 	m.running++
 	m.runningSuspects += boolToInt(rec.Suspect)
@@ -180,11 +179,11 @@
 		m.concurrencyLimit = msg.ConcurrencyLimit
 	}
 	for _, org := range m.orgs {
-		org.weight, org.limit = 1, 0
+		org.Weight, org.limit = 1, 0
 	}
 	for _, o := range msg.Organisations {
 		org := m.org(o.Name)
-		org.weight = max(1, o.Weight)
+		org.Weight = max(1, o.Weight)
 		org.limit = o.ConcurrencyLimit
 	}
 	m.heldFingerprints = map[string]bool{}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -131,6 +132,7 @@
 	inFlight       atomic.Int64
 	ending         context.Context // ending ends when a planned stop leaves requests no more time.
 	endRequests    context.CancelFunc
+	random         func() float64 // random returns a number from 0 up to 1.
 
 	mu            sync.Mutex
 	seeds         []string
@@ -162,7 +164,7 @@
 func New(cfg Config, dialect Dialect, logger *log.Logger) *Gatekeeper {
 	ending, endRequests := context.WithCancel(context.Background())
 	return &Gatekeeper{
-		ending: ending, endRequests: endRequests,
+		ending: ending, endRequests: endRequests, random: rand.Float64,
 		cfg: cfg, log: logger, dialect: dialect, seeds: cfg.Seeds,
 		endpointClient: transporter.NewClient(transporter.WithDialTimeout(endpointDialTimeout), transporter.WithIdle(maxIdleConns, idleConnTimeout)),
 		controlClient:  transporter.NewClient(transporter.WithDialTimeout(controlDialTimeout)),
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -321,7 +321,7 @@
 		return "no attempt is left"
 	case !g.stop.Load().allowsAttempt(e, request.Now):
 		return stopReason
-	case e.attempts == 0 && request.Model != "" && !g.throttler.Admits(request.Model, e.utilization, rand.Float64()):
+	case e.attempts == 0 && request.Model != "" && !g.throttler.Admits(request.Model, e.utilization, g.random()):
 		return "begins are late, and a part is turned away"
 	}
 	return ""
