Gatekeeper: priorities and organisation shares where they are declared

Change: an entry asks internal/rationer on the first attempt of each request to a rationed service; the chooser leaves the part of a group's slots that is kept for more urgent requests; the throttle turns less urgent requests away first; urgency is passed to the endpoint; the demand of an urgent kind that lags counts more. Setting organisation-shares = auto, on, off. Auto is on for services with an engine whose requests can have different priorities.

TestDecisionsWithoutPrioritiesAreUnchanged: 6000 recorded requests get the decisions of the code before, with equal priorities and with the part off.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -52,6 +52,7 @@
 	Model   string   // Model is empty for a plain service.
 	Exclude []string // Exclude holds the IDs of endpoints that must not be picked.
 	Urgency Urgency
+	Fill    float64       // Fill is the fraction of a group's capacity up to which the request is accepted; 0 means all of it.
 	Now     time.Duration // Now is a reading of the clock that the messages use.
 }
 
--- a/internal/configurer/configurer_test.go
+++ b/internal/configurer/configurer_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"papayaseam/internal/rationer"
+
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 )
@@ -43,3 +45,16 @@
 	assert.Equal(t, s.StopAfter, 90*time.Second)
 	assert.Equal(t, s.Advertise, s.Listen)
 }
+
+// TestOrganisationSharesAreOneOfTheModes guards against a misspelt mode that is taken for
+// the default.
+func TestOrganisationSharesAreOneOfTheModes(t *testing.T) {
+	file := "[process]\nroles = direct-entry\nname = i\nregion = r\nfailure-domain = d\n[direct]\nip = 127.0.0.1\ninner-port = 1\nlisten = 127.0.0.1:2\nready-listen = 127.0.0.1:3\nseeds = 127.0.0.1:4\n"
+	for line, want := range map[string]rationer.Mode{"": rationer.Auto, "organisation-shares = auto\n": rationer.Auto, "organisation-shares = on\n": rationer.On, "organisation-shares = off\n": rationer.Off} {
+		s, err := Parse("entry.ini", []byte(file+line))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Direct.Shares, want)
+	}
+	_, err := Parse("entry.ini", []byte(file+"organisation-shares = of\n"))
+	assert.ErrorContains(t, err, "organisation-shares must be auto, on, off")
+}
--- a/internal/configurer/direct.go
+++ b/internal/configurer/direct.go
@@ -3,7 +3,10 @@
 import (
 	"net"
 	"slices"
+	"strings"
 	"time"
+
+	"papayaseam/internal/rationer"
 )
 
 // Direct are the settings of the roles that serve endpoints without side
@@ -23,6 +26,7 @@
 	BreakAfter time.Duration // BreakAfter is when a head that lacks a member has broken for certain.
 	Stop       time.Duration // Stop bounds a planned stop.
 	MemoryMB   int           // MemoryMB bounds the process.
+	Shares     rationer.Mode // Shares says for which services priorities and shares of organisations are in effect.
 }
 
 const (
@@ -51,6 +55,7 @@
 		DataFolder: r.Text(section, "data-folder", ""), Losses: r.Int(section, "disks-lost-at-once", 1, 0, maxLosses),
 		RetryRatio: r.Number(section, "retry-ratio", 0.2, 0, 1), MemoryMB: r.Int(section, "memory-mb", 256, 16, maxKeepMB),
 	}
+	d.Shares = r.shares(section)
 	revoke := r.duration(section, "key-removal-ms", 5*time.Second)
 	d.Lease = time.Duration(float64(revoke) * leaseShare)
 	d.BreakAfter = r.duration(section, "group-stall-ms", 10*time.Second) + breakMargin
@@ -70,3 +75,14 @@
 	}
 	return d
 }
+
+// shares reads the services for which priorities and shares of organisations are in
+// effect.
+func (r reader) shares(section string) rationer.Mode {
+	const key = "organisation-shares"
+	mode := r.Text(section, key, string(rationer.Auto))
+	if !slices.Contains(rationer.Modes, mode) {
+		r.Fail(section, key, "%s must be %s", key, strings.Join(rationer.Modes, ", "))
+	}
+	return rationer.Mode(mode)
+}
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -54,7 +54,7 @@
 	request.Host = e.r.Host
 	request.Header = g.dialect.ForwardHeader(e.r.Header, ForwardMetadata{
 		Instance: target.ID, Organisation: e.organisation, Timeout: g.stop.Load().boundDeadline(e.deadline) - timekeeper.Now(), LastEventID: e.lastEventID,
-		Urgency: e.urgency(),
+		Urgency: e.urgency(), Rank: e.decision.Rank, Ranks: e.decision.Ranks,
 	})
 	response, connection, err := g.endpointClient.DoOn(request)
 	g.recordSentWhileAway(e, target, connection.SentAt())
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -24,6 +24,7 @@
 	"papayaseam/internal/chooser"
 	"papayaseam/internal/describer"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/rationer"
 	"papayaseam/internal/retrier"
 	"papayaseam/internal/throttler"
 	"papayaseam/internal/timekeeper"
@@ -72,6 +73,8 @@
 	Timeout      time.Duration // Timeout is the time left until the client's deadline.
 	LastEventID  string
 	Urgency      chooser.Urgency
+	Rank         int // Rank is the position of the request's priority among Ranks of its service, from 0, the most urgent.
+	Ranks        int // Ranks is 0 where priorities have no effect.
 }
 
 // ResponseMetadata is what an endpoint's response says apart from its status code
@@ -111,6 +114,9 @@
 	Lease         time.Duration // Lease is how long after its confirmation a configuration may authenticate requests.
 	RetryRatio    float64       // RetryRatio is the declared number of retries per request.
 	Decode        func(document []byte) (*describer.Configuration, error)
+	// OrganisationShares says for which services priorities and shares of organisations
+	// are in effect; empty is rationer.Auto.
+	OrganisationShares rationer.Mode
 }
 
 // activeConfig is the configuration in use and the time of its last confirmation.
@@ -139,6 +145,7 @@
 	leader        string
 	chooser       *chooser.Chooser
 	throttler     *throttler.Throttler
+	rationer      *rationer.Rationer
 	retryBudget   *retrier.Budget
 	clientRetries *clientRetryDetector
 	streams       map[*streamAttempt]struct{}
@@ -170,7 +177,7 @@
 		controlClient:  transporter.NewClient(transporter.WithDialTimeout(controlDialTimeout)),
 		bufferPool:     transporter.NewPool(bufferPoolBytes),
 		chooser:        chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name)), chooser.WithName(cfg.Name)), retryBudget: retrier.New(cfg.RetryRatio*retryRatioShare, maxEarnedRetries),
-		throttler: throttler.New(), clientRetries: newClientRetryDetector(), streams: map[*streamAttempt]struct{}{}, observations: map[string]*observation{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
+		throttler: throttler.New(), rationer: rationer.New(), clientRetries: newClientRetryDetector(), streams: map[*streamAttempt]struct{}{}, observations: map[string]*observation{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
 		checks: map[bootKey]*listenerCheck{}, quarantine: newQuarantine(logger), doubts: newDoubts(),
 	}
 }
--- a/internal/gatekeeper/recorded_test.go
+++ b/internal/gatekeeper/recorded_test.go
@@ -11,6 +11,7 @@
 	"papayaseam/internal/describer"
 	"papayaseam/internal/exposer"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/rationer"
 	"papayaseam/internal/throttler"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,10 +47,11 @@
 
 // newPicker returns an entry that knows a configuration and three groups of each model,
 // and draws its random numbers from a seed.
-func newPicker(config *describer.Configuration) *Gatekeeper {
-	g := New(Config{Name: "entry", FailureDomain: "d0", RetryRatio: 0.2}, nil, exposer.NewLogger(io.Discard, "entry"))
+func newPicker(mode rationer.Mode, config *describer.Configuration) *Gatekeeper {
+	g := New(Config{Name: "entry", FailureDomain: "d0", RetryRatio: 0.2, OrganisationShares: mode}, nil, exposer.NewLogger(io.Discard, "entry"))
 	g.random = rand.New(rand.NewPCG(3, 3)).Float64
 	g.active.Store(&activeConfig{config: config})
+	g.planRationing(config)
 	fleet := chooser.FleetMsg{EntryCount: 1}
 	for i, model := range []string{"m", "m", "m", "n", "n", "n"} {
 		id := fmt.Sprintf("i-%d", i)
@@ -74,7 +76,7 @@
 		}
 		route := config.Routes[inputs.IntN(len(config.Routes))]
 		e := &exchange{
-			route: route, service: config.Services[0], organisation: []string{"press", "huts"}[inputs.IntN(2)],
+			route: route, priority: route.Priority, service: config.Services[0], organisation: []string{"press", "huts"}[inputs.IntN(2)],
 			metadata:    RequestMetadata{Model: []string{"m", "n"}[inputs.IntN(4)/3], PromptTokens: inputs.IntN(2000), OutputTokens: inputs.IntN(300), Timeout: time.Duration(1000+inputs.IntN(3000)) * time.Millisecond},
 			fingerprint: fmt.Sprint(i), startedAt: time.Duration(i) * 5 * time.Millisecond, deadline: time.Hour,
 		}
@@ -94,7 +96,11 @@
 }
 
 // TestDecisionsWithoutPrioritiesAreUnchanged guards against a change of any decision of
-// a deployment whose kinds of requests have equal priorities.
+// a deployment whose kinds of requests have equal priorities, or that switches priorities
+// off.
 func TestDecisionsWithoutPrioritiesAreUnchanged(t *testing.T) {
-	assert.Equal(t, replayDecisions(newPicker(prioritiesConfiguration(1, 1, 1))), recordedDecisions)
+	assert.Equal(t, replayDecisions(newPicker("", prioritiesConfiguration(1, 1, 1))), recordedDecisions)
+	assert.Equal(t, replayDecisions(newPicker(rationer.Auto, prioritiesConfiguration(1, 1, 1))), recordedDecisions)
+	assert.Equal(t, replayDecisions(newPicker(rationer.Off, prioritiesConfiguration(0, 1, 2))), recordedDecisions)
+	assert.Assert(t, replayDecisions(newPicker(rationer.Auto, prioritiesConfiguration(0, 1, 2))) != recordedDecisions, "the inputs do not reach the part")
 }
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -10,6 +10,7 @@
 	"papayaseam/internal/chooser"
 	"papayaseam/internal/describer"
 	"papayaseam/internal/quarantiner"
+	"papayaseam/internal/rationer"
 	"papayaseam/internal/timekeeper"
 
 	"github.com/cockroachdb/errors"
@@ -60,7 +61,11 @@
 	longestGap        time.Duration // longestGap is the longest time between two events.
 	target            chooser.Target
 	chosenAt          time.Duration // chosenAt is when target was chosen.
-	clientRetry       bool          // clientRetry means that the client was rejected before and has less time left.
+	priority          int           // priority is 0 for the most urgent requests.
+	rationed          bool          // rationed means that the slots of the request's model are rationed.
+	ration            rationer.Request
+	decision          rationer.Decision
+	clientRetry       bool // clientRetry means that the client was rejected before and has less time left.
 	outcome           string
 	reason            string
 	failureReason     string            // failureReason says why no attempt could be made or why the last one failed.
@@ -123,7 +128,7 @@
 		http.Error(e.w, err.Error(), http.StatusBadRequest)
 		return false
 	}
-	e.route = route
+	e.route, e.priority = route, route.Priority
 	e.metadata = g.dialect.ParseRequest(e.r)
 	e.lastEventID = e.metadata.LastEventID
 	if !g.authenticate(e, active) {
@@ -156,6 +161,7 @@
 		return false
 	}
 	e.organisation = organisation.Name
+	e.priority = e.route.PriorityOf(organisation)
 	return true
 }
 
@@ -211,7 +217,7 @@
 	}
 	model, ok := e.service.Engine.Model(e.metadata.Model)
 	if ok {
-		g.demand[demandKey{e.service.Name, model.Name}] += estimateWork(*e.service.Engine, model, e.metadata)
+		g.demand[demandKey{e.service.Name, model.Name}] += g.countDemand(e, model)
 	}
 }
 
@@ -295,6 +301,8 @@
 		request.Model = e.metadata.Model
 		e.utilization = g.chooser.Utilization(request.Service, request.Model)
 	}
+	g.decideRation(e, &request)
+	defer g.recordRation(e)
 	if e.failureReason = g.blockedReason(e, request); e.failureReason != "" {
 		return chooser.Target{}, false
 	}
@@ -321,7 +329,9 @@
 		return "no attempt is left"
 	case !g.stop.Load().allowsAttempt(e, request.Now):
 		return stopReason
-	case e.attempts == 0 && request.Model != "" && !g.throttler.Admits(request.Model, e.utilization, g.random()):
+	case e.attempts == 0 && e.decision.Refused:
+		return string(e.decision.Reason)
+	case e.attempts == 0 && request.Model != "" && g.throttles(e, request.Model):
 		return "begins are late, and a part is turned away"
 	}
 	return ""
@@ -337,7 +347,7 @@
 	case !found && g.allStayAway(e, request):
 		return "all endpoints want no requests for a while"
 	case !found:
-		return "no endpoint has a free place"
+		return g.shortageReason(e, request)
 	case e.attempts > 0 && !g.retryBudget.TrySpend(e.service.Name):
 		return "the retry budget is used up"
 	}
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -163,6 +163,7 @@
 		}
 		config.Index()
 		next.config = config
+		g.planRationing(config)
 		g.log.Info("configuration applied", "version", config.Version, "routes", len(config.Routes))
 	}
 	if next.config != nil && next.config.Version >= response.Version {
--- a/internal/rationer/options.go
+++ b/internal/rationer/options.go
@@ -31,8 +31,9 @@
 	// burst is the time for which an organisation may run ahead of its share.
 	burst = time.Second
 	// floor is the fraction of the mean below which no organisation and no kind of
-	// requests is to be served. Users ask for a quarter; the sums lag.
-	floor = 0.4
+	// requests is to be served. Users ask for a quarter; the sums lag, and other entries
+	// may serve less.
+	floor = 0.5
 	// maxReserve is the largest fraction of the capacity that is kept from the least
 	// urgent requests for more urgent ones: about twice the standard deviation of the
 	// slots that these use if they use half of a hundred.
--- a/internal/rationer/rationer_test.go
+++ b/internal/rationer/rationer_test.go
@@ -184,7 +184,9 @@
 func TestBurstsOfTheLeastUrgent(t *testing.T) {
 	capacity := targetUtilization * simSlots / simTime.Seconds()
 	sources := threeKinds(0.6*capacity, "m", "m", "m")
-	sources = append(sources, source{organisation: "o0", kind: "k2", priority: 2, model: "m", rate: 4 * capacity, burst: func(at time.Duration) bool { return at%(10*time.Second) < 2*time.Second }})
+	for o := range 4 {
+		sources = append(sources, source{organisation: fmt.Sprintf("o%d", o), kind: "k2", priority: 2, model: "m", rate: capacity, burst: func(at time.Duration) bool { return at%(10*time.Second) < 2*time.Second }})
+	}
 	open, s := simulate(sources, nil), simulate(sources, []int{0, 1, 2})
 	t.Logf("the most urgent kind %.3f, not rationed %.3f", s.kinds["k0"].ratio(), open.kinds["k0"].ratio())
 	assertOrder(t, s)
