--- a/internal/chooser/draw.go
+++ b/internal/chooser/draw.go
@@ -14,10 +14,13 @@
 	weights := make([]float64, len(c.ids))
 	for i, id := range c.ids {
 		cand := c.candidates[id]
-		if cand.service != req.Service || cand.model != req.Model || slices.Contains(req.Exclude, id) || cand.retryAt > req.Now || c.StaysAway(cand.target, req.Now) || c.beyondFill(cand, req) {
+		if cand.service != req.Service || cand.model != req.Model || slices.Contains(req.Exclude, id) || cand.retryAt > req.Now || c.StaysAway(cand.target, req.Now) {
 			continue
 		}
 		weights[i] = c.weight(cand, req.Urgency, freeCap)
+		if c.beyondFill(cand, req) {
+			weights[i] = 0
+		}
 		total += weights[i]
 	}
 	if total <= 0 {
