--- a/internal/rationer/rationer_test.go
+++ b/internal/rationer/rationer_test.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// TestLargestOrganisationDoesNotStarve is the load of organisations that all ask for more
+// than their share, one of them for twenty times as much: of its equal share it would be
+// served next to never.
+func TestLargestOrganisationDoesNotStarve(t *testing.T) {
+	s := simulate(organisations(11, 3*targetUtilization*simSlots/simTime.Seconds(), 0.65), []int{0})
+	t.Logf("smallest %.3f, large %.3f", smallest(s), s.orgs["large"].ratio())
+	assertGate(t, s)
+}
+
 // TestUnevenOrganisations is the load of 24 organisations of which each asks for less
 // than the one before, at twice the capacity.
 func TestUnevenOrganisations(t *testing.T) {
