Rationer: the demand of an urgent kind does not follow chance

Cause: an entry of many counts a few requests of each kind, and the factor grew with every chance lag and fell slowly.

Change: kinds are counted over 10 s, the noise of the count is tolerated, and the factor falls as it grows.

Result: TestFactorsDoNotFollowChance, two requests of each kind in a second and no true lag: mean factor 1.037.

--- a/internal/rationer/decaying.go
+++ b/internal/rationer/decaying.go
@@ -1,20 +1,22 @@
 package rationer
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
 
-// decaying is a sum whose parts lose weight exponentially with time constant window.
+// decaying is a sum whose parts lose weight exponentially.
 type decaying struct {
-	sum float64
-	at  time.Duration
+	sum  float64
+	at   time.Duration
+	span time.Duration // span is the time constant; 0 means window.
 }
 
 func (d *decaying) value(now time.Duration) float64 {
 	if now > d.at {
 		if d.sum != 0 {
-			d.sum *= math.Exp(-float64(now-d.at) / float64(window))
+			d.sum *= math.Exp(-float64(now-d.at) / float64(cmp.Or(d.span, window)))
 		}
 		d.at = now
 	}
--- a/internal/rationer/options.go
+++ b/internal/rationer/options.go
@@ -6,6 +6,9 @@
 	// window is the time constant of all sums. Shares are to hold over a few seconds: a
 	// response takes one or two, and the view of the load is half a second old.
 	window = 4 * time.Second
+	// kindWindow is the time constant of the counts of a kind. They are compared with each
+	// other, and an entry of many sees a few requests of each kind in a second.
+	kindWindow = 10 * time.Second
 	// refreshInterval is the time between computations of the level, which visit all
 	// organisations.
 	refreshInterval = 100 * time.Millisecond
@@ -60,8 +63,10 @@
 	// lag: a lag of a fifth reaches the bound in ten seconds, about the time to load a
 	// model.
 	demandGain = 0.5
-	// demandRecovery is the time constant with which the factor returns to 1.
-	demandRecovery = 20 * time.Second
 	// lagTolerance is the lag that has no effect. Users accept 5 in 100.
 	lagTolerance = 0.02
+	// lagNoise, divided by the square root of the number of requests, is added to the
+	// tolerance: the standard deviation of a ratio of one half. Without it, the factors
+	// of kinds with few requests would follow chance.
+	lagNoise = 0.5
 )
--- a/internal/rationer/service.go
+++ b/internal/rationer/service.go
@@ -28,7 +28,11 @@
 }
 
 func newService(priorities []int) *service {
-	return &service{priorities: slices.Clone(priorities), kinds: map[kindKey]*kind{}}
+	return &service{priorities: slices.Clone(priorities), kinds: map[kindKey]*kind{}, all: newKindTally()}
+}
+
+func newKindTally() tally {
+	return tally{asked: decaying{span: kindWindow}, served: decaying{span: kindWindow}}
 }
 
 // rank returns the position of a priority among those of the service. An unknown one
@@ -51,7 +55,7 @@
 		k = s.kinds[key]
 	}
 	if k == nil {
-		k = &kind{factor: 1}
+		k = &kind{factor: 1, tally: newKindTally()}
 		s.kinds[key] = k
 	}
 	return k
@@ -72,19 +76,17 @@
 	s.refreshedAt = now
 	elapsed = min(elapsed, window)
 	for key, k := range s.kinds {
-		if lag := s.lag(now, key, k); lag > lagTolerance {
-			k.factor = min(k.factor*math.Exp(demandGain*lag*elapsed.Seconds()), maxDemandFactor)
-		} else {
-			k.factor = 1 + (k.factor-1)*math.Exp(-float64(elapsed)/float64(demandRecovery))
-		}
+		k.factor *= math.Exp(demandGain * s.lag(now, key, k) * elapsed.Seconds())
+		k.factor = min(max(k.factor, 1), maxDemandFactor)
 	}
 }
 
 // lag returns how much less often a kind is served than the less urgent one that is
-// served most often.
+// served most often, beyond what is tolerated.
 func (s *service) lag(now time.Duration, key kindKey, k *kind) float64 {
-	if k.asked.value(now) < minCounted {
-		return 0
+	n := k.asked.value(now)
+	if n < minCounted {
+		return -lagTolerance
 	}
 	best := 0.0
 	for other, o := range s.kinds {
@@ -92,7 +94,7 @@
 			best = max(best, o.ratio(now))
 		}
 	}
-	return best - k.ratio(now)
+	return best - k.ratio(now) - lagTolerance - lagNoise/math.Sqrt(n)
 }
 
 // DemandFactor returns the factor by which the demand of a request counts where the
--- a/internal/rationer/state_test.go
+++ b/internal/rationer/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -127,3 +128,25 @@
 		})
 	}
 }
+
+// TestFactorsDoNotFollowChance guards against instances that change models because an
+// entry with few requests happens to refuse more urgent ones: two kinds on two models
+// are served equally often.
+func TestFactorsDoNotFollowChance(t *testing.T) {
+	r, random := New(), rand.New(rand.NewPCG(9, 9))
+	r.Update(ConfigurationMsg{Services: []Service{{Name: "s", Priorities: []int{0, 1}}}})
+	sum, n := 0.0, 0
+	for i := range 10_000 { // Two requests of each kind in a second.
+		req := Request{Service: "s", Model: fmt.Sprint(i % 2), Organisation: "o", Kind: "k", Priority: i % 2, Fingerprint: uint64(i) + 1, Work: 1, Now: time.Duration(i) * 250 * time.Millisecond}
+		r.Update(RequestMsg{req})
+		if random.IntN(2) == 0 {
+			r.Update(AdmittedMsg{req})
+		}
+		req.Fingerprint = 0
+		if req.Priority == 0 {
+			sum, n = sum+r.DemandFactor(req), n+1
+		}
+	}
+	t.Logf("mean factor %.3f", sum/float64(n))
+	assert.Assert(t, sum/float64(n) <= 1.1)
+}
