Rationer, Director: floors by what all entries serve

Requests that come together by chance were refused at entries with few, which left slots unused.

Change: demand reports carry the counts of rationed services, the leader sums them up, and confirmations carry the fraction that was sent, for each service; an entry takes it as the mean for 3 s. Nothing is sent where no service is rationed. An organisation may run two mean requests further ahead.

--- a/internal/director/collect.go
+++ b/internal/director/collect.go
@@ -31,7 +31,8 @@
 	accepted map[string]acceptedAnnouncement
 	alive    map[string]messenger.Liveness
 	demand   map[demandKey]float64 // demand is the requested work in milliseconds.
-	entries  int                   // entries is the number of running entries in the leader's last confirmation.
+	served   servedCounts
+	entries  int // entries is the number of running entries in the leader's last confirmation.
 }
 
 type demandKey struct{ service, model string }
@@ -45,7 +46,7 @@
 }
 
 func newCollector() collector {
-	return collector{accepted: map[string]acceptedAnnouncement{}, alive: map[string]messenger.Liveness{}, demand: map[demandKey]float64{}}
+	return collector{accepted: map[string]acceptedAnnouncement{}, alive: map[string]messenger.Liveness{}, demand: map[demandKey]float64{}, served: servedCounts{}}
 }
 
 func newAcceptedAnnouncement(leader string, r messenger.Registration) acceptedAnnouncement {
@@ -121,10 +122,12 @@
 	}
 	digest.Sightings = slices.Collect(maps.Values(merged))
 	for key, work := range d.collector.demand {
-		digest.Demand = append(digest.Demand, messenger.DemandReport{Service: key.service, Model: key.model, WorkMs: work})
+		count := d.collector.served[key]
+		digest.Demand = append(digest.Demand, messenger.DemandReport{Service: key.service, Model: key.model, WorkMs: work, Asked: count.asked, Sent: count.sent})
 	}
 	digest.Alive = slices.Collect(maps.Values(d.collector.alive))
 	clear(d.collector.demand)
+	clear(d.collector.served)
 	clear(d.collector.alive)
 	return digest
 }
@@ -156,8 +159,10 @@
 	for _, report := range reports {
 		if d.leading {
 			d.fleet.demand.work[report.Model] += report.WorkMs
+			d.fleet.served.add(now(), report)
 			continue
 		}
+		d.collector.served.add(report)
 		d.collector.demand[demandKey{report.Service, report.Model}] += report.WorkMs
 	}
 }
--- a/internal/director/fleet.go
+++ b/internal/director/fleet.go
@@ -70,6 +70,7 @@
 	entries             map[string]entryState
 	relays              map[string]relayState // relays maps the addresses of other control processes to their last digests.
 	demand              demandMeter
+	served              servedMeter
 	prober              *prober.Prober
 	lastNewEndpointAt   time.Duration
 	lastLeaderAt        time.Duration
--- a/internal/director/round.go
+++ b/internal/director/round.go
@@ -62,7 +62,7 @@
 	defer d.mu.Unlock()
 	d.confirmedAt = max(d.confirmedAt, start)
 	version, _ := d.state.Document()
-	return messenger.Confirmation{Confirmed: true, Leader: d.cfg.Address, Version: version, Entries: d.liveEntries()}, nil
+	return messenger.Confirmation{Confirmed: true, Leader: d.cfg.Address, Version: version, Entries: d.liveEntries(), Served: d.fleet.served.shares(now())}, nil
 }
 
 // confirmViaLeader sends a digest to the leader, which confirms it with a quorum. It
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -47,7 +47,7 @@
 	defer d.mu.Unlock()
 	response := d.responseTo(request)
 	response.Confirmed = err == nil
-	response.Entries = c.Entries
+	response.Entries, response.Served = c.Entries, c.Served
 	if err != nil {
 		response.Document, response.Version = "", 0
 	}
--- a/internal/gatekeeper/ration.go
+++ b/internal/gatekeeper/ration.go
@@ -3,8 +3,10 @@
 import (
 	"papayaseam/internal/chooser"
 	"papayaseam/internal/describer"
+	"papayaseam/internal/messenger"
 	"papayaseam/internal/rationer"
 	"papayaseam/internal/throttler"
+	"papayaseam/internal/timekeeper"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -99,3 +101,11 @@
 		tooEarlyRefusals.Inc()
 	}
 }
+
+// applyServed tells the rationer which fraction of their requests all entries sent to
+// endpoints; mu is held.
+func (g *Gatekeeper) applyServed(shares []messenger.ServedShare) {
+	for _, share := range shares {
+		g.rationer.Update(rationer.ServedMsg{Now: timekeeper.Now(), Service: share.Service, Fraction: share.Fraction})
+	}
+}
--- a/internal/gatekeeper/ration_test.go
+++ b/internal/gatekeeper/ration_test.go
@@ -9,6 +9,7 @@
 
 	"papayaseam/internal/chooser"
 	"papayaseam/internal/exposer"
+	"papayaseam/internal/messenger"
 	"papayaseam/internal/rationer"
 	"papayaseam/internal/timekeeper"
 
@@ -145,3 +146,23 @@
 	assert.Assert(t, strings.Contains(out.String(), "writers off: all requests have priority 1"), out.String())
 	assert.Assert(t, !g.rationer.Rations("writers"))
 }
+
+// TestCountsAreReportedOnceWhereRationed guards against floors by counts that control
+// gets twice or not at all, and against longer messages without priorities.
+func TestCountsAreReportedOnceWhereRationed(t *testing.T) {
+	for priorities, want := range map[int][]messenger.DemandReport{2: {{Service: "writers", Model: "m", Asked: 3, Sent: 2}}, 1: nil} {
+		g := newPicker(rationer.Auto, prioritiesConfiguration(1, priorities))
+		assert.Equal(t, reasonFor(g, 0, "press", "a"), "")
+		assert.Equal(t, reasonFor(g, 1, "press", "b"), "")
+		setLoad(g, 32)
+		assert.Equal(t, reasonFor(g, 0, "press", "c"), noPlaceReason)
+		var counts []messenger.DemandReport
+		for _, report := range g.resetDemand() {
+			if report.Asked > 0 {
+				counts = append(counts, report)
+			}
+		}
+		assert.DeepEqual(t, counts, want)
+		assert.Equal(t, len(g.resetDemand()), 0)
+	}
+}
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -143,6 +143,9 @@
 	for key, workMs := range g.demand {
 		reports = append(reports, messenger.DemandReport{Service: key.service, Model: key.model, WorkMs: workMs})
 	}
+	for _, c := range g.rationer.TakeCounts() {
+		reports = append(reports, messenger.DemandReport{Service: c.Service, Model: c.Model, Asked: c.Asked, Sent: c.Sent})
+	}
 	clear(g.demand)
 	return reports
 }
@@ -189,6 +192,7 @@
 	if response.Entries > 0 {
 		g.fleet.EntryCount = response.Entries
 	}
+	g.applyServed(response.Served)
 	if response.Quarantine != nil {
 		g.quarantine.apply(*response.Quarantine)
 		g.cancelHeld()
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -14,6 +14,9 @@
 	// Leader corresponds to the JSON schema field "leader".
 	Leader string `json:"leader,omitempty,omitzero"`
 
+	// Served corresponds to the JSON schema field "served".
+	Served []ServedShare `json:"served,omitempty,omitzero"`
+
 	// Endpoints that must announce themselves in full.
 	Unknown []string `json:"unknown,omitempty,omitzero"`
 
@@ -57,9 +60,17 @@
 
 // The work that clients asked of one model since the last report.
 type DemandReport struct {
+	// The requests that clients sent for the first time; 0 where the service is not
+	// rationed.
+	Asked int `json:"asked,omitempty,omitzero"`
+
 	// Model corresponds to the JSON schema field "model".
 	Model string `json:"model,omitempty,omitzero"`
 
+	// The requests that were sent to an endpoint; 0 where the service is not
+	// rationed.
+	Sent int `json:"sent,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service,omitempty,omitzero"`
 
@@ -328,6 +339,9 @@
 	// Quarantine corresponds to the JSON schema field "quarantine".
 	Quarantine *QuarantineChanges `json:"quarantine,omitempty,omitzero"`
 
+	// Served corresponds to the JSON schema field "served".
+	Served []ServedShare `json:"served,omitempty,omitzero"`
+
 	// Version corresponds to the JSON schema field "version".
 	Version int `json:"version,omitempty,omitzero"`
 }
@@ -563,6 +577,16 @@
 	Modified int `json:"modified,omitempty,omitzero"`
 }
 
+// The fraction of the requests to a rationed service that all entries sent to
+// endpoints of late.
+type ServedShare struct {
+	// Fraction corresponds to the JSON schema field "fraction".
+	Fraction float64 `json:"fraction,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service,omitempty,omitzero"`
+}
+
 // What a process saw of one endpoint on its own connections.
 type Sighting struct {
 	// AgeMs corresponds to the JSON schema field "age-ms".
--- a/internal/rationer/entries_test.go
+++ b/internal/rationer/entries_test.go
@@ -39,6 +39,8 @@
 	orgs      map[string]*outcome
 	busy      float64
 	finger    uint64
+	synced    bool   // synced means that entries hear which fraction of all requests was sent.
+	all       tally  // all counts the requests of all entries.
 	pinned    string // pinned is the organisation whose clients use two entries only.
 }
 
@@ -81,6 +83,9 @@
 	for now := entryStep; now < entriesEnd; now += entryStep {
 		s.past = append(s.past, append([]int(nil), s.load...))
 		s.settle(now)
+		if s.synced && now%viewEvery == 0 {
+			s.sync(now)
+		}
 		for i, c := range s.choosers {
 			if (now+time.Duration(i)*entryStep)%viewEvery == 0 {
 				c.Update(s.view(now))
@@ -102,6 +107,18 @@
 	}
 }
 
+// sync tells the entries what control has summed up of their reports.
+func (s *entries) sync(now time.Duration) {
+	fraction := s.all.ratio(now)
+	for _, r := range s.rationers {
+		r.Update(ServedMsg{Now: now, Service: "s", Fraction: fraction})
+		for _, c := range r.TakeCounts() {
+			s.all.asked.add(now, float64(c.Asked))
+			s.all.served.add(now, float64(c.Sent))
+		}
+	}
+}
+
 // settle ends the requests and delivers the loads that are due.
 func (s *entries) settle(now time.Duration) {
 	for _, end := range s.ends[now] {
@@ -195,16 +212,18 @@
 }
 
 // TestOrganisationAtTwoEntries is the load of an organisation with half of all requests
-// whose clients use two of twelve entries. The others know nothing of it, and their
-// organisations must not starve.
+// whose clients use two of twelve entries. At these two, it is served about as often as
+// all are, so that it would starve if these entries did not hear how often the others serve.
 func TestOrganisationAtTwoEntries(t *testing.T) {
 	capacity := targetUtilization * groupSlots * groupCount / simTime.Seconds()
-	open, rationed := newEntries(nil), newEntries([]int{0})
-	for _, s := range []*entries{open, rationed} {
+	open, alone, rationed := newEntries(nil), newEntries([]int{0}), newEntries([]int{0})
+	rationed.synced = true
+	for _, s := range []*entries{open, alone, rationed} {
 		s.pinned = "large"
 		s.run(organisations(23, 2*capacity, 0.5))
 		result := &simulation{kinds: s.kinds, orgs: s.orgs}
 		t.Logf("large %.3f, smallest of the others %.3f, all %.3f, busy %.0f", s.orgs["large"].ratio(), smallest(result), mean(s.orgs), s.busy)
 	}
 	assertGate(t, &simulation{kinds: rationed.kinds, orgs: rationed.orgs})
+	assert.Check(t, rationed.busy >= 0.95*open.busy, "%.0f of %.0f", rationed.busy, open.busy)
 }
--- a/internal/rationer/messages.go
+++ b/internal/rationer/messages.go
@@ -1,5 +1,7 @@
 package rationer
 
+import "time"
+
 // Msg is an input of a Rationer.
 type Msg interface{ rationerMsg() }
 
@@ -18,7 +20,16 @@
 	Short   bool // Short means that it found no slot, although all of the usual capacity was open to it.
 }
 
+// ServedMsg reports the fraction of the requests to a service that all entries sent to
+// endpoints. It counts for a while only.
+type ServedMsg struct {
+	Now      time.Duration
+	Service  string
+	Fraction float64
+}
+
 func (ConfigurationMsg) rationerMsg() {}
+func (ServedMsg) rationerMsg()        {}
 func (RequestMsg) rationerMsg()       {}
 func (AdmittedMsg) rationerMsg()      {}
 func (RefusedMsg) rationerMsg()       {}
--- a/internal/rationer/options.go
+++ b/internal/rationer/options.go
@@ -9,6 +9,9 @@
 	// kindWindow is the time constant of the counts of a kind. They are compared with each
 	// other, and an entry of many sees a few requests of each kind in a second.
 	kindWindow = 10 * time.Second
+	// fractionTTL is how long a report about all entries counts: several syncs, of which
+	// some are lost.
+	fractionTTL = 3 * time.Second
 	// refreshInterval is the time between computations of the level, which visit all
 	// organisations.
 	refreshInterval = 100 * time.Millisecond
@@ -33,10 +36,14 @@
 	minScale, maxScale = 0.5, 4
 	// burst is the time for which an organisation may run ahead of its share.
 	burst = time.Second
-	// floor is the fraction of the mean below which no organisation and no kind of
-	// requests is to be served. Users ask for a quarter; the sums lag, and other entries
-	// may serve less.
-	floor = 0.5
+	// burstRequests is the number of mean requests by which an organisation may run
+	// further ahead. At an entry of many, an organisation sends a request in a second or
+	// so, and chance makes them come together.
+	burstRequests = 2
+	// partyFloor and kindFloor are the fractions of the mean below which no organisation
+	// and no kind of requests is to be served. Users ask for a quarter of the mean; the
+	// sums lag, and one entry's ratio differs from that of all.
+	partyFloor, kindFloor = 0.4, 0.5
 	// maxReserve is the largest fraction of the capacity that is kept from the least
 	// urgent requests for more urgent ones: about twice the standard deviation of the
 	// slots that these use if they use half of a hundred.
--- a/internal/rationer/pool.go
+++ b/internal/rationer/pool.go
@@ -87,16 +87,17 @@
 
 // aboveShare reports whether the organisation of a request has had more than its share.
 // Its more urgent requests may run further ahead of it, so that its less urgent ones are
-// refused first.
-func (p *pool) aboveShare(req Request, d Decision) bool {
+// refused first. One that is served much less often than the mean is not.
+func (p *pool) aboveShare(req Request, d Decision, mean float64) bool {
 	if math.IsInf(p.level, 1) || req.Utilization < shortUtilization {
 		return false
 	}
 	o := p.party(req)
-	if o.requests.ratio(req.Now) < floor*p.requests.ratio(req.Now) {
+	if o.requests.ratio(req.Now) < partyFloor*mean {
 		return false
 	}
-	allowed := p.level * burst.Seconds() * (1 + float64(d.Ranks-1-d.Rank)/float64(max(d.Ranks-1, 1)))
+	work := p.admitted.value(req.Now) / max(p.served.value(req.Now), 1)
+	allowed := (p.level*burst.Seconds() + burstRequests*work) * (1 + float64(d.Ranks-1-d.Rank)/float64(max(d.Ranks-1, 1)))
 	return p.clock.Lead(&o.Account) > allowed
 }
 
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -91,11 +91,31 @@
 	parties     map[string]*party
 	asked       []decaying // asked is the work asked for, by rank.
 	admitted    decaying   // admitted is the work that was sent.
-	requests    tally
+	served      decaying   // served is the number of requests that were sent.
+	counts      Counts
 	utilization decaying // utilization holds samples of the utilization.
 	samples     decaying // samples is the weight of those samples.
 }
 
+// Counts are the requests to a model that clients sent, and those that were sent to
+// endpoints, since they were last taken.
+type Counts struct {
+	Service, Model string
+	Asked, Sent    int
+}
+
+// TakeCounts returns the counts of all rationed models and starts them anew.
+func (r *Rationer) TakeCounts() []Counts {
+	var taken []Counts
+	for key, p := range r.pools {
+		if p.counts.Asked+p.counts.Sent > 0 {
+			taken = append(taken, Counts{key.service, key.model, p.counts.Asked, p.counts.Sent})
+			p.counts = Counts{}
+		}
+	}
+	return taken
+}
+
 // party is one organisation's use of a model.
 type party struct {
 	apportioner.Account
@@ -114,6 +134,10 @@
 	switch msg := msg.(type) {
 	case ConfigurationMsg:
 		r.configure(msg)
+	case ServedMsg:
+		if s := r.services[msg.Service]; s != nil {
+			s.fraction, s.fractionAt = min(max(msg.Fraction, 0), 1), msg.Now
+		}
 	case RequestMsg:
 		r.ask(msg.Request)
 	case AdmittedMsg:
@@ -179,7 +203,7 @@
 		return
 	}
 	p.asked[s.rank(req.Priority)].add(req.Now, req.Work)
-	p.requests.asked.add(req.Now, 1)
+	p.counts.Asked++
 	o.requests.asked.add(req.Now, 1)
 	s.all.asked.add(req.Now, 1)
 	s.kind(req).asked.add(req.Now, 1)
@@ -195,7 +219,7 @@
 	if !p.isShort(req) {
 		return d
 	}
-	if p.aboveShare(req, d) {
+	if p.aboveShare(req, d, s.mean(req.Now)) {
 		d.Refused, d.Reason = true, AboveShare
 		return d
 	}
@@ -224,7 +248,7 @@
 	if demands[rank] <= 0 {
 		return fraction
 	}
-	own := apportioner.Ordered(fraction, floor, demands)[rank] / demands[rank]
+	own := apportioner.Ordered(fraction, kindFloor, demands)[rank] / demands[rank]
 	if s.belowFloor(req) {
 		return max(own, fraction)
 	}
@@ -241,7 +265,9 @@
 	o := p.party(req)
 	p.clock.CatchUp(&o.Account)
 	o.Charge(req.Work)
-	for _, t := range []*tally{&p.requests, &o.requests, &s.all, &s.kind(req).tally} {
+	p.counts.Sent++
+	p.served.add(req.Now, 1)
+	for _, t := range []*tally{&o.requests, &s.all, &s.kind(req).tally} {
 		t.served.add(req.Now, 1)
 	}
 	if slot := r.slot(req); slot.fingerprint == req.Fingerprint {
--- a/internal/rationer/service.go
+++ b/internal/rationer/service.go
@@ -18,6 +18,8 @@
 	priorities  []int
 	kinds       map[kindKey]*kind
 	all         tally
+	fraction    float64       // fraction is that of all entries' requests that were sent.
+	fractionAt  time.Duration // fractionAt is when fraction arrived.
 	refreshedAt time.Duration
 }
 
@@ -64,7 +66,16 @@
 // belowFloor reports whether the kind of a request is served so much less often than all
 // that it must not be refused for more urgent ones.
 func (s *service) belowFloor(req Request) bool {
-	return s.kind(req).ratio(req.Now) < floor*s.all.ratio(req.Now)
+	return s.kind(req).ratio(req.Now) < kindFloor*s.mean(req.Now)
+}
+
+// mean returns the fraction of the requests of all entries that are sent, or of this
+// entry's alone if nothing was heard of the others lately.
+func (s *service) mean(now time.Duration) float64 {
+	if s.fractionAt > 0 && now-s.fractionAt < fractionTTL {
+		return s.fraction
+	}
+	return s.all.ratio(now)
 }
 
 // refresh adjusts the factors of demand, once in a while.
--- a/internal/rationer/state_test.go
+++ b/internal/rationer/state_test.go
@@ -150,3 +150,18 @@
 	t.Logf("mean factor %.3f", sum/float64(n))
 	assert.Assert(t, sum/float64(n) <= 1.1)
 }
+
+// TestFractionOfAllEntriesExpires guards against floors by a report that is no longer
+// true, when control is out of reach, and against impossible reports.
+func TestFractionOfAllEntriesExpires(t *testing.T) {
+	r := New()
+	r.Update(ConfigurationMsg{Services: []Service{{Name: "s", Priorities: []int{0, 1}}}})
+	s := r.services["s"]
+	assert.Equal(t, s.mean(time.Second), 1.0)
+	r.Update(ServedMsg{Now: time.Second, Service: "s", Fraction: 0.4})
+	r.Update(ServedMsg{Now: time.Second, Service: "other", Fraction: 0.1})
+	assert.Equal(t, s.mean(time.Second+fractionTTL-1), 0.4)
+	assert.Equal(t, s.mean(time.Second+fractionTTL), 1.0)
+	r.Update(ServedMsg{Now: time.Minute, Service: "s", Fraction: 7})
+	assert.Equal(t, s.mean(time.Minute), 1.0)
+}
