--- a/internal/chooser/draw.go
+++ b/internal/chooser/draw.go
@@ -32,6 +32,9 @@
 			continue
 		}
 		weights[i] = c.weight(cand, req.Urgency, freeCap, fallback)
+		if c.beyondFill(cand, req) {
+			weights[i] = 0
+		}
 		total += weights[i]
 	}
 	if total <= 0 {
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"papayaseam/internal/describer"
 	"papayaseam/internal/evacuator"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/rationer"
 	"papayaseam/internal/retrier"
 	"papayaseam/internal/throttler"
 	"papayaseam/internal/timekeeper"
@@ -72,6 +74,8 @@
 	Timeout      time.Duration // Timeout is the time left until the client's deadline.
 	LastEventID  string
 	Urgency      chooser.Urgency
+	Rank         int // Rank is the position of the request's priority among Ranks of its service, from 0, the most urgent.
+	Ranks        int // Ranks is 0 where priorities have no effect.
 }
 
 // ResponseMetadata is what an endpoint's response says apart from its status code
@@ -114,6 +118,9 @@
 	// domain.
 	EvacuateWithin time.Duration
 	Decode         func(document []byte) (*describer.Configuration, error)
+	// OrganisationShares says for which services priorities and shares of organisations
+	// are in effect; empty is rationer.Auto.
+	OrganisationShares rationer.Mode
 }
 
 // activeConfig is the configuration in use and the time of its last confirmation.
@@ -135,12 +142,14 @@
 	inFlight       atomic.Int64
 	ending         context.Context // ending ends when a planned stop leaves requests no more time.
 	endRequests    context.CancelFunc
+	random         func() float64 // random returns a number from 0 up to 1.
 
 	mu            sync.Mutex
 	seeds         []string
 	leader        string
 	chooser       *chooser.Chooser
 	throttler     *throttler.Throttler
+	rationer      *rationer.Rationer
 	retryBudget   *retrier.Budget
 	clientRetries *clientRetryDetector
 	streams       map[*streamAttempt]struct{}
@@ -167,13 +176,13 @@
 func New(cfg Config, dialect Dialect, logger *log.Logger) *Gatekeeper {
 	ending, endRequests := context.WithCancel(context.Background())
 	return &Gatekeeper{
-		ending: ending, endRequests: endRequests,
+		ending: ending, endRequests: endRequests, random: rand.Float64,
 		cfg: cfg, log: logger, dialect: dialect, seeds: cfg.Seeds,
 		endpointClient: transporter.NewClient(transporter.WithDialTimeout(endpointDialTimeout), transporter.WithIdle(maxIdleConns, idleConnTimeout)),
 		controlClient:  transporter.NewClient(transporter.WithDialTimeout(controlDialTimeout)),
 		bufferPool:     transporter.NewPool(bufferPoolBytes),
 		chooser:        chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name)), chooser.WithName(cfg.Name)), retryBudget: retrier.New(cfg.RetryRatio*retryRatioShare, maxEarnedRetries),
-		throttler: throttler.New(), clientRetries: newClientRetryDetector(), streams: map[*streamAttempt]struct{}{}, observations: map[string]*observation{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
+		throttler: throttler.New(), rationer: rationer.New(), clientRetries: newClientRetryDetector(), streams: map[*streamAttempt]struct{}{}, observations: map[string]*observation{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
 		checks: map[bootKey]*listenerCheck{}, quarantine: newQuarantine(logger), doubts: newDoubts(),
 		evacuations: evacuator.New(),
 	}
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -145,6 +145,9 @@
 	for key, workMs := range g.demand {
 		reports = append(reports, messenger.DemandReport{Service: key.service, Model: key.model, WorkMs: workMs})
 	}
+	for _, c := range g.rationer.TakeCounts() {
+		reports = append(reports, messenger.DemandReport{Service: c.Service, Model: c.Model, Asked: c.Asked, Sent: c.Sent})
+	}
 	clear(g.demand)
 	return reports
 }
@@ -165,6 +168,7 @@
 		}
 		config.Index()
 		next.config = config
+		g.planRationing(config)
 		g.log.Info("configuration applied", "version", config.Version, "routes", len(config.Routes))
 	}
 	if next.config != nil && next.config.Version >= response.Version {
@@ -190,6 +194,7 @@
 	if response.Entries > 0 {
 		g.fleet.EntryCount = response.Entries
 	}
+	g.applyServed(response.Served)
 	if response.Quarantine != nil {
 		g.quarantine.apply(*response.Quarantine)
 		g.cancelHeld()
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -39,6 +39,9 @@
 	// Leader corresponds to the JSON schema field "leader".
 	Leader string `json:"leader,omitempty,omitzero"`
 
+	// Served corresponds to the JSON schema field "served".
+	Served []ServedShare `json:"served,omitempty,omitzero"`
+
 	// The shares of the entries that the digest named.
 	Shares []ColdShare `json:"shares,omitempty,omitzero"`
 
@@ -88,9 +91,17 @@
 
 // The work that clients asked of one model since the last report.
 type DemandReport struct {
+	// The requests that clients sent for the first time; 0 where the service is not
+	// rationed.
+	Asked int `json:"asked,omitempty,omitzero"`
+
 	// Model corresponds to the JSON schema field "model".
 	Model string `json:"model,omitempty,omitzero"`
 
+	// The requests that were sent to an endpoint; 0 where the service is not
+	// rationed.
+	Sent int `json:"sent,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service,omitempty,omitzero"`
 
@@ -429,6 +440,9 @@
 	// Quarantine corresponds to the JSON schema field "quarantine".
 	Quarantine *QuarantineChanges `json:"quarantine,omitempty,omitzero"`
 
+	// Served corresponds to the JSON schema field "served".
+	Served []ServedShare `json:"served,omitempty,omitzero"`
+
 	// The entry's shares of cold endpoints; absent where none is cold.
 	Shares []ColdShare `json:"shares,omitempty,omitzero"`
 
@@ -673,6 +687,16 @@
 	Modified int `json:"modified,omitempty,omitzero"`
 }
 
+// The fraction of the requests to a rationed service that all entries sent to
+// endpoints of late.
+type ServedShare struct {
+	// Fraction corresponds to the JSON schema field "fraction".
+	Fraction float64 `json:"fraction,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service,omitempty,omitzero"`
+}
+
 // What a process saw of one endpoint on its own connections.
 type Sighting struct {
 	// AgeMs corresponds to the JSON schema field "age-ms".
