Rationer: priorities of routes enable rationing, not those of organisations alone

Cause: all earlier deployments declare organisations with priorities 0 and 1, so that auto changed their decisions (one INFO line per configuration showed it on each). Change: auto needs routes of the service that declare different priorities. Ruled out: leaving it on there; they are to be served as before. Result: TestOrganisationsAloneNeedTheSetting; packages pass.

--- a/internal/describer/priority.go
+++ b/internal/describer/priority.go
@@ -33,6 +33,18 @@
 	return slices.Sorted(maps.Keys(found))
 }
 
+// RoutePriorities returns the distinct priorities that the routes to a service declare,
+// the most urgent first.
+func (c *Configuration) RoutePriorities(service string) []int {
+	found := map[int]struct{}{}
+	for _, route := range c.Routes {
+		if route.leadsTo(service) {
+			found[route.Priority] = struct{}{}
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
 // leadsTo reports whether the route sends requests to a service.
 func (r Route) leadsTo(service string) bool {
 	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 })
--- a/internal/rationer/plan.go
+++ b/internal/rationer/plan.go
@@ -12,7 +12,7 @@
 
 // The modes.
 const (
-	Auto Mode = "auto" // Auto rations services whose requests can have different priorities.
+	Auto Mode = "auto" // Auto rations services whose routes declare different priorities.
 	On   Mode = "on"   // On rations every service with an engine.
 	Off  Mode = "off"  // Off rations none.
 )
@@ -28,7 +28,9 @@
 )
 
 // Plan returns the services of a configuration that are rationed and one explanation for
-// each service with an engine. Plain services hold no slots of a model.
+// each service with an engine. Plain services hold no slots of a model. Organisations
+// whose priorities differ do not ration a service by themselves: their priorities have
+// been declared for as long as organisations have, and had no effect.
 func Plan(mode Mode, config *describer.Configuration) ([]Service, []string) {
 	if mode == "" {
 		mode = defaultMode
@@ -40,7 +42,8 @@
 			continue
 		}
 		priorities := config.Priorities(service.Name)
-		rationed := len(priorities) > 0 && (mode == On || (mode == Auto && len(priorities) > 1))
+		ranked := len(priorities) > 1 && len(config.RoutePriorities(service.Name)) > 1
+		rationed := len(priorities) > 0 && (mode == On || (mode == Auto && ranked))
 		if rationed {
 			services = append(services, Service{Name: service.Name, Priorities: priorities})
 		}
@@ -65,6 +68,8 @@
 		reason = "by the settings"
 	case len(priorities) == 1:
 		reason = fmt.Sprintf("all requests have priority %d", priorities[0])
+	case !rationed:
+		reason = "all routes have one priority"
 	}
 	return fmt.Sprintf("%s %s: %s", name, effect, reason)
 }
--- a/internal/rationer/plan_test.go
+++ b/internal/rationer/plan_test.go
@@ -38,3 +38,20 @@
 		assert.DeepEqual(t, explanations, c.explanations)
 	}
 }
+
+// TestOrganisationsAloneNeedTheSetting guards against a deployment whose decisions change
+// because its organisations have priorities, which had no effect before.
+func TestOrganisationsAloneNeedTheSetting(t *testing.T) {
+	config := &describer.Configuration{
+		RequiresKeys:  true,
+		Routes:        []describer.Route{{Priority: 1, Splits: []describer.Split{{Service: "writers", Weight: 1}}}},
+		Services:      []describer.Service{{Name: "writers", Engine: &describer.Engine{}}},
+		Organisations: []describer.Organisation{{Name: "first", HasPriority: true}, {Name: "second", Priority: 1, HasPriority: true}},
+	}
+	services, explanations := Plan(Auto, config)
+	assert.Equal(t, len(services), 0)
+	assert.DeepEqual(t, explanations, []string{"writers off: all routes have one priority"})
+	services, explanations = Plan(On, config)
+	assert.Equal(t, len(services), 1)
+	assert.DeepEqual(t, explanations, []string{"writers on: priorities 0 1"})
+}
