Gatekeeper: check an endpoint that broke before it gets further requests

An endpoint that is restarted at its address, or returns from a cut, got requests at full rate from every entry until its announcement had reached control and the view the entries, and for as long as an entry did not reach control.

Where a service declares a cold rate and a path of health checks, an endpoint that did not answer or broke a connection gets nothing from the entry that saw it until a health check that began afterwards is answered, nor for the time that the answer states. Elsewhere nothing changes.

Tests: go test -p 2 of chooser, gatekeeper, platform, runner, placer and director pass; TestRestartedEndpointIsSparedBeforeControlKnows ran three times without a failure.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -185,6 +185,10 @@
 		c.addNotice(msg)
 	case ShareMsg:
 		c.cold.setShares(msg)
+	case BrokenMsg:
+		c.cold.broken(msg)
+	case CheckedMsg:
+		c.cold.checked(msg)
 	case LoadMsg:
 		if cand := c.candidates[msg.ID]; cand != nil {
 			cand.reported = msg.Running + msg.Waiting
--- a/internal/chooser/cold.go
+++ b/internal/chooser/cold.go
@@ -50,10 +50,12 @@
 type coldState struct {
 	buckets map[string]*bucket // buckets is by endpoint; endpoints without one are warm.
 	shares  map[shareKey]heldShare
+	// verifications holds the endpoints that broke and may have been restarted since.
+	verifications map[string]*verification
 }
 
 func newColdState() coldState {
-	return coldState{buckets: map[string]*bucket{}, shares: map[shareKey]heldShare{}}
+	return coldState{buckets: map[string]*bucket{}, shares: map[shareKey]heldShare{}, verifications: map[string]*verification{}}
 }
 
 // replace takes over which endpoints are cold. A bucket begins empty, so that entries
@@ -72,6 +74,7 @@
 		b.key = shareKey{view.Service, view.FailureDomain}
 		s.buckets[view.Instance] = b
 	}
+	s.dropReplaced(msg)
 }
 
 // setShares replaces the shares that are named, after what was earned with the earlier
@@ -104,6 +107,9 @@
 
 // allows reports whether this entry may send a request to an endpoint now.
 func (s *coldState) allows(id string, now time.Duration) bool {
+	if s.isHeld(id, now) {
+		return false
+	}
 	b := s.buckets[id]
 	if b == nil {
 		return true
@@ -119,28 +125,35 @@
 	}
 }
 
-// wait returns how long it takes until a cold endpoint is warm or may get a request,
-// whichever is sooner. It returns false if neither is known.
-func (s *coldState) wait(b *bucket, coldTime, now time.Duration) (time.Duration, bool) {
-	warmIn, tokenIn := b.coldAt+coldTime-now, time.Duration(0)
-	if held, ok := s.shares[b.key]; ok && now < held.until && held.rate > 0 {
-		tokenIn = time.Duration(max(1-b.tokens, 0) / held.rate * float64(time.Second))
+// wait returns how long it takes until an endpoint is warm or may get a request, whichever
+// is sooner; 0 if neither is known.
+func (s *coldState) wait(id string, coldTime, now time.Duration) time.Duration {
+	if s.isHeld(id, now) {
+		return max(s.verifications[id].coldUntil-now, 0)
+	}
+	b := s.buckets[id]
+	s.refill(b, now)
+	wait := max(b.coldAt+coldTime-now, 0)
+	held, ok := s.shares[b.key]
+	if !ok || now >= held.until || held.rate <= 0 {
+		return wait
 	}
-	switch {
-	case tokenIn > 0 && (warmIn <= 0 || tokenIn < warmIn):
-		return tokenIn, true
-	case warmIn > 0:
-		return warmIn, true
+	token := time.Duration(max(1-b.tokens, 0) / held.rate * float64(time.Second))
+	if wait == 0 || token < wait {
+		return token
 	}
-	return 0, false
+	return wait
 }
 
 // IsCold reports whether the entry knows an endpoint as cold.
 func (c *Chooser) IsCold(target Target) bool { return c.cold.buckets[target.ID] != nil }
 
 // HoldsShare reports whether this entry may send to an endpoint at all: it is warm, or
-// the entry's share of its rate has not expired.
+// the entry's share of its rate has not expired, and it did not break of late.
 func (c *Chooser) HoldsShare(target Target, now time.Duration) bool {
+	if c.cold.isHeld(target.ID, now) {
+		return false
+	}
 	b := c.cold.buckets[target.ID]
 	if b == nil {
 		return true
@@ -150,20 +163,19 @@
 }
 
 // AllCold reports whether all endpoints that serve the model, except those that want no
-// requests, are cold, and how long it takes until one is warm or may get a request; 0 if
-// that is not known. ColdTime is how long an endpoint of the service is cold.
+// requests, are cold or may be cold since they broke, and how long it takes until one is
+// warm or may get a request; 0 if that is not known. ColdTime is how long an endpoint of
+// the service is cold.
 func (c *Chooser) AllCold(service, model string, coldTime, now time.Duration) (wait time.Duration, all bool) {
 	for id, cand := range c.candidates {
 		if cand.service != service || cand.model != model || c.StaysAway(cand.target, now) {
 			continue
 		}
-		b := c.cold.buckets[id]
-		if b == nil {
+		if c.cold.buckets[id] == nil && !c.cold.isHeld(id, now) {
 			return 0, false
 		}
 		all = true
-		c.cold.refill(b, now)
-		if in, known := c.cold.wait(b, coldTime, now); known && (wait == 0 || in < wait) {
+		if in := c.cold.wait(id, coldTime, now); in > 0 && (wait == 0 || in < wait) {
 			wait = in
 		}
 	}
--- a/internal/describer/describer.go
+++ b/internal/describer/describer.go
@@ -101,6 +101,7 @@
 	Name           string
 	MaxConnections int
 	Engine         *Engine       // Engine is nil for a service without model groups.
+	HealthPath     string        // HealthPath is where endpoints answer health checks; empty if they do not.
 	ColdTime       time.Duration // ColdTime is how long an endpoint is cold after a start during traffic.
 	ColdRate       float64       // ColdRate is the number of requests per second that a cold endpoint takes from all entries; 0 if it is not limited.
 }
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -62,6 +62,7 @@
 	response, connection, err := g.endpointClient.DoOn(request)
 	g.recordSentWhileAway(e, target, connection.SentAt())
 	if errors.Is(err, transporter.ErrUnreachable) {
+		g.noteBroken(ctx, e, target)
 		return nil, ResponseMetadata{}, notExecuted, err
 	}
 	if err != nil {
--- a/internal/gatekeeper/cold.go
+++ b/internal/gatekeeper/cold.go
@@ -15,8 +15,8 @@
 )
 
 // errNoShare is returned for an attempt at a cold endpoint for which this entry's share
-// of the rate has expired since the endpoint was picked.
-var errNoShare = errors.New("the share of the cold endpoint's rate has expired; trying another endpoint")
+// of the rate has expired since the endpoint was picked, or at one that broke meanwhile.
+var errNoShare = errors.New("the endpoint is cold, or may be, and this entry holds no share of its rate; trying another endpoint")
 
 var (
 	coldRequests      = metrics.NewCounter("papayaseam_cold_requests_total")
@@ -50,21 +50,20 @@
 }
 
 // maySend reports whether the endpoint of an attempt is warm, or this entry still holds a
-// share of its rate. It is checked right before the request is sent.
+// share of its rate, and whether it did not break meanwhile. It is checked right before the request is sent.
 func (g *Gatekeeper) maySend(e *exchange, target chooser.Target) bool {
 	if e.service.ColdRate <= 0 {
 		return true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.chooser.IsCold(target) {
-		return true
-	}
 	if !g.chooser.HoldsShare(target, timekeeper.Now()) {
 		coldSharesExpired.Inc()
 		return false
 	}
-	coldRequests.Inc()
+	if g.chooser.IsCold(target) {
+		coldRequests.Inc()
+	}
 	return true
 }
 
--- a/internal/gatekeeper/crash.go
+++ b/internal/gatekeeper/crash.go
@@ -48,6 +48,7 @@
 // refuse connections as well; control looks for the proof. Attempts that this entry
 // canceled say nothing about the endpoint.
 func (g *Gatekeeper) inspectBreak(ctx context.Context, e *exchange, target chooser.Target) {
+	g.noteBroken(ctx, e, target)
 	if ctx.Err() != nil || g.isLeaving(target) || !g.isRefused(ctx, target) {
 		return
 	}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -110,6 +110,7 @@
 	Lease         time.Duration // Lease is how long after its confirmation a configuration may authenticate requests.
 	RetryRatio    float64       // RetryRatio is the declared number of retries per request.
 	Decode        func(document []byte) (*describer.Configuration, error)
+	Health        HealthClient // Health checks endpoints that broke; nil for an entry that checks none.
 }
 
 // activeConfig is the configuration in use and the time of its last confirmation.
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -52,7 +52,7 @@
 			{Name: "once", Host: "a.example", Prefix: "/once/", Kind: describer.KindStreaming, Timeout: 4 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2, Splits: splits("writers")},
 		},
 		Services: []describer.Service{
-			{Name: "desk", ColdTime: coldTime, ColdRate: coldRate},
+			{Name: "desk", HealthPath: "/health", ColdTime: coldTime, ColdRate: coldRate},
 			{Name: "writers", ColdTime: coldTime, ColdRate: coldRate, Engine: &describer.Engine{Slots: 8, Models: []describer.Model{model}}},
 		},
 		RequiresKeys:  true,
@@ -148,7 +148,10 @@
 	crashed  atomic.Bool // crashed means that crash was called.
 }
 
-func newSystem(t testing.TB, lease time.Duration) *testSystem {
+func newSystem(t testing.TB, lease time.Duration) *testSystem { return newSystemWith(t, lease, nil) }
+
+// newSystemWith is newSystem for an entry that checks endpoints that broke.
+func newSystemWith(t testing.TB, lease time.Duration, health gatekeeper.HealthClient) *testSystem {
 	s := &testSystem{t: t, response: messenger.FleetResponse{Changes: &messenger.FleetChanges{Whole: true}}}
 	control := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
@@ -170,7 +173,7 @@
 	t.Cleanup(control.Close)
 	address := strings.TrimPrefix(control.URL, "http://")
 	s.entry = gatekeeper.New(gatekeeper.Config{
-		Name: "entry", FailureDomain: "ne-a", Seeds: []string{address}, Lease: lease, RetryRatio: 1, Decode: testConfiguration,
+		Name: "entry", FailureDomain: "ne-a", Seeds: []string{address}, Lease: lease, RetryRatio: 1, Decode: testConfiguration, Health: health,
 	}, testDialect{}, exposer.NewLogger(&s.logged, "entry"))
 	s.server = httptest.NewServer(s.entry)
 	t.Cleanup(s.server.Close)
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -338,7 +338,7 @@
 	case !found && g.allStayAway(e, request):
 		return "all endpoints want no requests for a while"
 	case !found && g.allCold(e, request):
-		return "all endpoints that serve it are cold and take no more requests now"
+		return "all endpoints that serve it are cold, or may be"
 	case !found:
 		return "no endpoint has a free place"
 	case e.attempts > 0 && !g.retryBudget.TrySpend(e.service.Name):
--- a/internal/gatekeeper/sync.go
+++ b/internal/gatekeeper/sync.go
@@ -40,7 +40,12 @@
 		defer close(doubted)
 		g.reportDoubts(ctx)
 	}()
-	defer func() { <-reported; <-doubted }()
+	verified := make(chan struct{})
+	go func() {
+		defer close(verified)
+		g.verifyEndpoints(ctx)
+	}()
+	defer func() { <-reported; <-doubted; <-verified }()
 	for ctx.Err() == nil {
 		pause := syncInterval
 		switch {
--- a/internal/runner/direct.go
+++ b/internal/runner/direct.go
@@ -79,7 +79,7 @@
 	s := p.settings.Direct
 	g := gatekeeper.New(gatekeeper.Config{
 		Name: p.settings.Name, FailureDomain: p.settings.FailureDomain, Seeds: s.Seeds, Lease: s.Lease,
-		RetryRatio: s.RetryRatio, Decode: platform.DecodeConfiguration,
+		RetryRatio: s.RetryRatio, Decode: platform.DecodeConfiguration, Health: platform.NewEndpoints(),
 	}, platform.Dialect{}, p.log)
 	p.reseed = append(p.reseed, g.SetSeeds)
 	p.drainers = append(p.drainers, g)
