Director: forward the announcement that ends a cold time

An announcement that says 0 while the view has its endpoint as cold goes to the leader at once. It went with the digest, was answered with the request for a whole announcement, and counted 1.2 s later.

Tests: go test of director (Cold, Quiet) and viewer, twice.

--- a/internal/director/cold.go
+++ b/internal/director/cold.go
@@ -102,6 +102,13 @@
 // cold. Such a time may be later than the one that the leader knows.
 func remainsCold(r messenger.Registration) bool { return r.Cold != nil && r.Cold.RemainingMs > 0 }
 
+// becameWarm reports whether an announcement says that its endpoint is warm, while the view
+// has it as cold. The caller holds mu.
+func (d *Director) becameWarm(r messenger.Registration) bool {
+	view, _ := d.fleet.viewer.Endpoint(r.Endpoint.Instance)
+	return r.Cold != nil && !remainsCold(r) && view.Cold
+}
+
 // coldAnnouncement returns what an announcement tells the endpoint table. A boot that is
 // first seen while clients are served may have started just now. The caller holds mu.
 func (d *Director) coldAnnouncement(r messenger.Registration) tracker.ColdAnnouncement {
--- a/internal/director/cold_test.go
+++ b/internal/director/cold_test.go
@@ -161,11 +161,33 @@
 	time.Sleep(3 * planInterval)
 	_, cold := seenCold(leader)
 	assert.Assert(t, cold, "the announcement was made before the endpoints could be reached again")
-	c.waitUntil("the endpoint stays cold although it announces that it is warm", func() bool {
-		endpoint.announce(c, follower, 0)
+	endpoint.announce(c, follower, 0)
+	c.waitCold(follower, false)
+}
+
+// TestDigestOfAnEndpointThatMayBeColdIsAnsweredWithAQuestion guards against endpoints that
+// say nothing of being cold, and whose announcements all go with digests: they would count
+// as cold for good.
+func TestDigestOfAnEndpointThatMayBeColdIsAnsweredWithAQuestion(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	c.declare(leader, "1 cold")
+	follower := c.otherNode(leader)
+	endpoint := &deskEndpoint{}
+	endpoint.announce(c, follower)
+	c.waitCold(leader, false)
+	leader.director.mu.Lock()
+	leader.director.setQuietDomains([]string{"d0"})
+	leader.director.setQuietDomains(nil)
+	leader.director.mu.Unlock()
+	c.waitCold(follower, true)
+	begun := now()
+	c.waitUntil("the endpoint stays cold", func() bool {
+		endpoint.announce(c, follower)
 		_, cold := seenCold(follower)
 		return !cold
 	})
+	assert.Assert(t, now()-begun > 2*time.Second, "it may have become cold for the declared time")
 }
 
 // TestNothingOfColdEndpointsIsSentWithoutADeclaredRate guards against messages and views
--- a/internal/director/collect.go
+++ b/internal/director/collect.go
@@ -73,7 +73,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	accepted, ok := d.collector.accepted[r.Endpoint.Instance]
-	changed := !ok || r.Gone || remainsCold(r) || r.Endpoint.Leaving || !accepted.equal(newAcceptedAnnouncement(d.leader, r))
+	changed := !ok || r.Gone || remainsCold(r) || d.becameWarm(r) || r.Endpoint.Leaving || !accepted.equal(newAcceptedAnnouncement(d.leader, r))
 	if changed || now()-d.lastRoundAt > maxConfirmationAge {
 		return false
 	}
--- a/internal/viewer/viewer.go
+++ b/internal/viewer/viewer.go
@@ -101,6 +101,12 @@
 	return sorted(v.endpoints, instanceOf)
 }
 
+// Endpoint returns the endpoint with the given ID, or false if the view has none.
+func (v *Viewer) Endpoint(id string) (messenger.EndpointView, bool) {
+	it, ok := v.endpoints[id]
+	return it.value, ok && !it.removed
+}
+
 // Groups returns the groups with their loads, sorted by name.
 func (v *Viewer) Groups() []messenger.GroupView {
 	groups := sorted(v.groups, func(g messenger.GroupView) string { return g.Name })
