--- a/internal/director/cold_test.go
+++ b/internal/director/cold_test.go
@@ -241,3 +241,18 @@
 	e, ok := leader.director.tracker().Endpoint("i-1")
 	assert.Assert(t, ok && e.Cold(now()))
 }
+
+// TestPlainDemandFormsNoGroups guards against a placer that takes requests to services
+// without groups for work of a model.
+func TestPlainDemandFormsNoGroups(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	c.declare(leader, "1 cold")
+	syncAs(leader, "e1")
+	syncAs(c.otherNode(leader), "e2")
+	time.Sleep(2 * idleRoundInterval)
+	leader.director.mu.Lock()
+	defer leader.director.mu.Unlock()
+	assert.Equal(t, len(leader.director.fleet.demand.work), 0)
+	assert.Assert(t, leader.director.fleet.cold.demand, "clients are served")
+}
--- a/internal/gatekeeper/share_test.go
+++ b/internal/gatekeeper/share_test.go
@@ -53,3 +53,13 @@
 	g.applyShares(response, now)
 	assert.Assert(t, g.maySend(&exchange{service: service}, chooser.Target{ID: "i-1", BootTime: 1}))
 }
+
+// TestPlainDemandIsReportedForLimitedServicesOnly guards against shares by no demand at all
+// for services without groups, and against reports that other deployments do not send.
+func TestPlainDemandIsReportedForLimitedServicesOnly(t *testing.T) {
+	g := New(Config{Name: "entry"}, nil, exposer.NewLogger(io.Discard, "entry"))
+	for _, service := range []describer.Service{{Name: "desk", ColdRate: 32}, {Name: "desk", ColdRate: 32}, {Name: "press"}} {
+		g.recordRequest(&exchange{service: service})
+	}
+	assert.DeepEqual(t, g.resetDemand(), []messenger.DemandReport{{Service: "desk", WorkMs: 2}})
+}
