--- a/internal/director/cold_test.go
+++ b/internal/director/cold_test.go
@@ -138,6 +138,29 @@
 	c.waitCold(second, false)
 }
 
+// TestDigestOfAnEndpointThatMayBeColdIsAnsweredWithAQuestion guards against endpoints that
+// say nothing of being cold, and whose announcements all go with digests: they would count
+// as cold for good.
+func TestDigestOfAnEndpointThatMayBeColdIsAnsweredWithAQuestion(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	c.declare(leader, "1 cold")
+	follower := c.otherNode(leader)
+	endpoint := &deskEndpoint{}
+	endpoint.announce(c, follower)
+	c.waitCold(leader, false)
+	c.evacuate(leader, "d0", true)
+	c.evacuate(leader, "d0", false)
+	c.waitCold(follower, true)
+	begun := now()
+	c.waitUntil("the endpoint stays cold", func() bool {
+		endpoint.announce(c, follower)
+		_, cold := seenCold(follower)
+		return !cold
+	})
+	assert.Assert(t, now()-begun > 2*time.Second, "it may have become cold for the declared time")
+}
+
 // TestNothingOfColdEndpointsIsSentWithoutADeclaredRate guards against messages and views
 // that change for deployments whose services limit no cold endpoints.
 func TestNothingOfColdEndpointsIsSentWithoutADeclaredRate(t *testing.T) {
@@ -189,3 +212,18 @@
 	e, ok := leader.director.tracker().Endpoint("i-1")
 	assert.Assert(t, ok && e.Cold(now()))
 }
+
+// TestPlainDemandFormsNoGroups guards against a placer that takes requests to services
+// without groups for work of a model.
+func TestPlainDemandFormsNoGroups(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	c.declare(leader, "1 cold")
+	syncAs(leader, "e1")
+	syncAs(c.otherNode(leader), "e2")
+	time.Sleep(2 * idleRoundInterval)
+	leader.director.mu.Lock()
+	defer leader.director.mu.Unlock()
+	assert.Equal(t, len(leader.director.fleet.demand.work), 0)
+	assert.Assert(t, leader.director.fleet.cold.demand, "clients are served")
+}
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -63,6 +63,7 @@
 	g.recordSentWhileAway(e, target, connection.SentAt())
 	g.recordSentToEvacuated(e, target, connection.SentAt())
 	if errors.Is(err, transporter.ErrUnreachable) {
+		g.noteBroken(ctx, e, target)
 		return nil, ResponseMetadata{}, notExecuted, err
 	}
 	if err != nil {
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -121,6 +121,7 @@
 	// OrganisationShares says for which services priorities and shares of organisations
 	// are in effect; empty is rationer.Auto.
 	OrganisationShares rationer.Mode
+	Health             HealthClient // Health checks endpoints that broke; nil for an entry that checks none.
 }
 
 // activeConfig is the configuration in use and the time of its last confirmation.
