Journaler: a meta page cut by a loss of power costs nothing acknowledged

Cause: one meta page that did not match its checksum counted as damage, since the library would go back to an older history where the newer page was acknowledged. A page whose write was cut looks the same, so that a loss of power could cost the disk. The report did not name its remedy, a folder in use counted as damaged, and a first start that was cut left a part of a file.

Change: each transaction records the checksum of the meta page that the next one overwrites. A damaged page that still ends with it was cut; one cut within its checksum is completed; any other is damage as before. New files are prepared under another name. An empty file is damage. The error names the remedy, and only damage is called so.

--- a/internal/journaler/check.go
+++ b/internal/journaler/check.go
@@ -2,10 +2,7 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"encoding/json"
-	"hash/fnv"
-	"io"
 	"os"
 	"runtime/debug"
 
@@ -15,29 +12,20 @@
 	"go.etcd.io/bbolt"
 )
 
-// The layout of a bbolt file: two meta pages at its start, each with a checksum
-// behind the fields that it covers.
-const (
-	metaPages      = 2
-	pageHeader     = 16 // bytes before the fields of a meta page
-	metaFields     = 56 // bytes that the checksum covers
-	firstPrepared  = 1  // the last transaction of a file without any bucket
-	pageSizeAt     = pageHeader + 8
-	metaChecksumAt = pageHeader + metaFields
-	metaBytes      = metaChecksumAt + 8
-)
+// firstPrepared is the last transaction of a file without any bucket.
+const firstPrepared = 1
 
 // checkFile finds damage before the file is used: all records are read, since the
 // library fails in any way when it follows a damaged page. Its own check is of no
 // use here: it runs on a goroutine of its own, where a fault ends the process.
 func checkFile(file string) (err error) {
 	info, err := os.Stat(file)
-	if err != nil || info.Size() == 0 {
-		return nil
+	if err != nil {
+		return errors.Wrap(err, "read the journal")
 	}
 	defer recoverFault(&err)()
 	if err := checkMeta(file); err != nil {
-		return markDamaged(err)
+		return err
 	}
 	db, err := openFile(file, true)
 	if err != nil {
@@ -52,30 +40,6 @@
 	}))
 }
 
-// checkMeta checks both meta pages, since the library goes back to the older one
-// where the newer one is damaged, and with it to an older history.
-func checkMeta(file string) error {
-	f, err := os.Open(file)
-	if err != nil {
-		return errors.Wrap(err, "open the journal")
-	}
-	defer func() { _ = f.Close() }()
-	pageSize := 0
-	for page := range metaPages {
-		meta := make([]byte, metaBytes)
-		if _, err := f.ReadAt(meta, int64(page*pageSize)); err != nil && !errors.Is(err, io.EOF) {
-			return errors.Wrap(err, "read the journal")
-		}
-		digest := fnv.New64a()
-		_, _ = digest.Write(meta[pageHeader:metaChecksumAt])
-		if binary.NativeEndian.Uint64(meta[metaChecksumAt:]) != digest.Sum64() {
-			return errors.Newf("meta page %d does not match its checksum", page)
-		}
-		pageSize = int(binary.NativeEndian.Uint32(meta[pageSizeAt:]))
-	}
-	return nil
-}
-
 // checkBuckets checks that all records are there and match their checksums.
 func checkBuckets(tx *bbolt.Tx) error {
 	present := 0
@@ -180,11 +144,12 @@
 	return nil
 }
 
+// markDamaged makes an error ErrDamaged, with the remedy in its text.
 func markDamaged(err error) error {
-	if err == nil {
-		return nil
+	if err == nil || errors.Is(err, ErrDamaged) {
+		return err
 	}
-	return errors.Mark(err, ErrDamaged)
+	return errors.Mark(errors.Wrap(err, ErrDamaged.Error()), ErrDamaged)
 }
 
 // recoverFault turns a panic, or a fault on a page that the file lacks, into
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -29,10 +29,12 @@
 
 	"github.com/cockroachdb/errors"
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 )
 
 const (
 	fileName    = "journal.db"
+	newFileName = "journal.new" // newFileName is the name of a file until it is prepared.
 	lockTimeout = 2 * time.Second
 	fileMode    = 0o600
 	folderMode  = 0o700
@@ -58,10 +60,14 @@
 	keyIdentity = []byte("identity")
 	keyFormat   = []byte("format")
 	keyTail     = []byte("tail")
+	keyBase     = []byte("base")
 )
 
 // Journal is the durable state of one replica.
-type Journal struct{ db *bbolt.DB }
+type Journal struct {
+	db   *bbolt.DB
+	file *os.File // file is the same file, to read its meta pages.
+}
 
 // Open opens or creates the journal in a folder.
 func Open(folder string) (*Journal, error) {
@@ -69,16 +75,54 @@
 		return nil, errors.Wrapf(err, "create the data folder; check the rights on %s", filepath.Dir(folder))
 	}
 	file := filepath.Join(folder, fileName)
+	if _, err := os.Stat(file); os.IsNotExist(err) {
+		if err := create(folder, file); err != nil {
+			return nil, err
+		}
+	}
 	if err := checkFile(file); err != nil {
 		return nil, err
 	}
+	return openPrepared(file)
+}
+
+// create prepares a new file under another name, so that a first start that was cut leaves
+// no part of a journal.
+func create(folder, file string) error {
+	fresh := filepath.Join(folder, newFileName)
+	if err := os.RemoveAll(fresh); err != nil {
+		return errors.Wrap(err, "remove a part of a journal")
+	}
+	j, err := openPrepared(fresh)
+	if err != nil {
+		return err
+	}
+	if err := j.Close(); err != nil {
+		return err
+	}
+	if err := os.Rename(fresh, file); err != nil {
+		return errors.Wrap(err, "name the new journal")
+	}
+	directory, err := os.Open(folder)
+	if err != nil {
+		return errors.Wrap(err, "sync the data folder")
+	}
+	defer func() { _ = directory.Close() }()
+	return errors.Wrap(directory.Sync(), "sync the data folder")
+}
+
+// openPrepared opens a file for writing, and prepares it.
+func openPrepared(file string) (*Journal, error) {
 	db, err := openFile(file, false)
 	if err != nil {
 		return nil, err
 	}
 	j := &Journal{db: db}
-	if err := j.prepare(); err != nil {
-		_ = db.Close()
+	if j.file, err = os.Open(file); err == nil {
+		err = j.prepare()
+	}
+	if err != nil {
+		_ = j.Close()
 		return nil, err
 	}
 	return j, nil
@@ -89,6 +133,13 @@
 func openFile(file string, readOnly bool) (db *bbolt.DB, err error) {
 	defer recoverFault(&err)()
 	db, err = bbolt.Open(file, fileMode, &bbolt.Options{Timeout: lockTimeout, ReadOnly: readOnly})
+	var system *os.PathError
+	switch {
+	case errors.Is(err, berrors.ErrTimeout):
+		return nil, errors.Wrap(err, "open the journal; another process uses the data folder, end it or give this one its own")
+	case errors.As(err, &system):
+		return nil, errors.Wrap(err, "open the journal; check the rights on the data folder")
+	}
 	return db, markDamaged(errors.Wrap(err, "open the journal"))
 }
 
@@ -106,7 +157,12 @@
 }
 
 // Close releases the file.
-func (j *Journal) Close() error { return errors.Wrap(j.db.Close(), "close the journal") }
+func (j *Journal) Close() error {
+	if j.file != nil {
+		_ = j.file.Close()
+	}
+	return errors.Wrap(j.db.Close(), "close the journal")
+}
 
 // Identity returns the replica's identity, empty on a new disk.
 func (j *Journal) Identity() string {
@@ -205,7 +261,12 @@
 // update writes a change; the library panics on a damaged list of free pages.
 func (j *Journal) update(change func(tx *bbolt.Tx) error) (err error) {
 	defer recoverFault(&err)()
-	err = j.db.Update(change)
+	err = j.db.Update(func(tx *bbolt.Tx) error {
+		if err := change(tx); err != nil {
+			return err
+		}
+		return j.saveBase(tx)
+	})
 	if isFull(err) {
 		err = errors.Mark(err, ErrFull)
 	}
