Placer: the input of a plan is set in one place

Change: one function sets the input and what follows from it; the test calls it, its checks are unchanged.

--- a/internal/placer/evacuate_test.go
+++ b/internal/placer/evacuate_test.go
@@ -96,10 +96,15 @@
 // evacuated failure domain, and that gets none elsewhere because those count.
 func TestTargetsFollowTheCapacityThatIsLeft(t *testing.T) {
 	c := servingCluster()
+	evacuate := func(domains ...string) {
+		msg := c.placer.msg
+		msg.Evacuated = domains
+		c.placer.setMsg(msg)
+	}
 	for _, model := range testEngine.Models {
-		c.placer.msg.Evacuated = nil
+		evacuate()
 		all := c.placer.targetInstances(model)
-		c.placer.msg.Evacuated = []string{"d0"}
+		evacuate("d0")
 		assert.Assert(t, c.placer.targetInstances(model) < all, model.Name)
 	}
 	c.placer.msg.Demand = nil
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -204,13 +204,8 @@
 
 // Update computes one plan and returns the orders to send now.
 func (p *Placer) Update(msg PlanMsg) []Order {
-	p.msg = msg
+	p.setMsg(msg)
 	p.orders, p.releases = nil, nil
-	p.byID = map[string]tracker.Endpoint{}
-	for _, e := range msg.Endpoints {
-		p.byID[e.View.Instance] = e
-	}
-	p.capacity = p.countCapacity()
 	p.recordLastModels()
 	p.adopt()
 	if msg.ObserveOnly {
@@ -224,6 +219,16 @@
 	return p.orders
 }
 
+// setMsg sets the input of a plan and what is worked out from it once.
+func (p *Placer) setMsg(msg PlanMsg) {
+	p.msg = msg
+	p.byID = map[string]tracker.Endpoint{}
+	for _, e := range msg.Endpoints {
+		p.byID[e.View.Instance] = e
+	}
+	p.capacity = p.countCapacity()
+}
+
 // memberHealth classifies a member by what is known of its process.
 type memberHealth int
 
