Limiter: bodies, connections and slow readers of a process share bounds

Cause: each body had a bound of its own, but all together had none, in bytes or in time; a connection that sent nothing, or whose client stopped reading, was held for as long as the client liked.

Change: internal/limiter decides, without a clock or a network, which bodies hold the budget of bytes (a quarter of memory-mb), which body, connection or blocked write is ended where they run short, and what each port's part of the descriptors is. A body that asks waits until stalled bodies that are evicted for it have returned their bytes; complete ones are never evicted, and a lone body is always granted. transporter reads bodies in segments that are charged at their capacity, refuses an announced length above the limit before it reads, and returns what is held when the handler ends at the latest. Copies of large bodies in JSON wait for their turn. The answers that an entry buffers count in the same budget. Settings: memory-mb and max-descriptors in [process], the times of heads, bodies, idle connections and writes. Inner messages are decoded as a whole, so that bytes after a message are an error now.

--- a/e2e/flood/platform_test.go
+++ b/e2e/flood/platform_test.go
@@ -44,8 +44,8 @@
 	entryHost := "127.201" + host[strings.Index(host[4:], ".")+4:]
 	s.entryInner = net.JoinHostPort(entryHost, inner)
 	common := func(name, role, ip string) string {
-		return fmt.Sprintf("[process]\nname = %s\nroles = %s\nregion = r\nfailure-domain = d0\n[direct]\nip = %s\ninner-port = %s\nseeds = %s\ngrace-s = 8\nmemory-mb = %d\n%s",
-			name, role, ip, inner, s.control, directMemory, directLimits)
+		return fmt.Sprintf("[process]\nname = %s\nroles = %s\nregion = r\nfailure-domain = d0\n%s[direct]\nip = %s\ninner-port = %s\nseeds = %s\ngrace-s = 8\nmemory-mb = %d\n",
+			name, role, directLimits, ip, inner, s.control, directMemory)
 	}
 	s.run("control", common("control", "direct-control", host)+fmt.Sprintf("listen = %s\nfirst-start = true\ndata-folder = %s\ndisks-lost-at-once = 0\ngroup-stall-ms = 6000\n",
 		s.control, filepath.Join(s.folder, "data")), directMemory, directOpen)
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"papayaseam/internal/declarer"
+	"papayaseam/internal/limiter"
 )
 
 // Role is what a process does.
@@ -66,6 +67,7 @@
 
 	Endpoint Endpoint
 	Direct   Direct
+	Limits   limiter.Bounds // Limits bounds what clients can make the process hold.
 }
 
 // Endpoint are the settings of a fake endpoint.
@@ -137,6 +139,7 @@
 	}
 	s.Roles = r.roles()
 	sections := []string{"process", "control"}
+	s.Limits = r.limits(s.IsDirect())
 	if s.IsDirect() {
 		s.Direct = r.direct()
 		s.StopAfter = s.Direct.Stop
--- a/internal/configurer/direct.go
+++ b/internal/configurer/direct.go
@@ -22,7 +22,6 @@
 	RetryRatio float64       // RetryRatio is the declared budget of retries for each request.
 	BreakAfter time.Duration // BreakAfter is when a head that lacks a member has broken for certain.
 	Stop       time.Duration // Stop bounds a planned stop.
-	MemoryMB   int           // MemoryMB bounds the process.
 }
 
 const (
@@ -49,7 +48,7 @@
 		Listen: r.address(section, "listen"), ReadyOn: r.Text(section, "ready-listen", ""), ReadyPath: r.Text(section, "ready-path", "/readyz"),
 		MetricsOn: r.Text(section, "metrics-listen", ""), First: r.Bool(section, "first-start", false),
 		DataFolder: r.Text(section, "data-folder", ""), Losses: r.Int(section, "disks-lost-at-once", 1, 0, maxLosses),
-		RetryRatio: r.Number(section, "retry-ratio", 0.2, 0, 1), MemoryMB: r.Int(section, "memory-mb", 256, 16, maxKeepMB),
+		RetryRatio: r.Number(section, "retry-ratio", 0.2, 0, 1),
 	}
 	revoke := r.duration(section, "key-removal-ms", 5*time.Second)
 	d.Lease = time.Duration(float64(revoke) * leaseShare)
--- a/internal/forwarder/api.go
+++ b/internal/forwarder/api.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,9 +14,11 @@
 	"papayaseam/internal/transporter"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 )
 
+// parseCopies is how often a body is copied as it is parsed: its messages, and their beginning.
+const parseCopies = 2
+
 // clientRequest is a validated client request, ready to be dispatched.
 type clientRequest struct {
 	id             string
@@ -35,6 +36,7 @@
 	contentType    string
 	accept         string
 	body           []byte
+	held           *transporter.Body // held is what body holds; nil for nothing.
 	stream         bool
 	repeatable     bool          // repeatable is set if the request may run more than once.
 	startedAt      time.Duration // startedAt is counted from the start of the process.
@@ -129,18 +131,32 @@
 	if apiErr := request.readHeaders(r); apiErr != nil {
 		return request, apiErr
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := transporter.ReadBody(w, r, maxBodyBytes, max(0, request.deadline-request.startedAt))
+	if err == nil {
+		request.held = body
+		request.body, err = body.Bytes()
+	}
 	if err != nil {
-		var tooLong *http.MaxBytesError
-		if errors.As(err, &tooLong) {
-			return request, &apiError{http.StatusRequestEntityTooLarge, "body-too-long", "not-run", "the body is longer than 8 MiB; send a shorter one"}
-		}
-		return request, &apiError{http.StatusBadRequest, "body-broken", "not-run", "the body could not be read whole; send it again"}
+		return request, bodyError(w, err)
 	}
-	request.body = body
 	return request, nil
 }
 
+// bodyError returns the response to a request whose body could not be read.
+func bodyError(w http.ResponseWriter, err error) *apiError {
+	code, message := "body-broken", err.Error()
+	switch status := transporter.BodyStatus(err); status {
+	case http.StatusRequestEntityTooLarge:
+		code, message = "body-too-long", "the body is longer than 8 MiB; send a shorter one"
+	case http.StatusRequestTimeout:
+		code = "body-late"
+	case http.StatusServiceUnavailable:
+		code = "body-refused"
+		transporter.SetBodyRetry(w.Header())
+	}
+	return &apiError{transporter.BodyStatus(err), code, "not-run", message}
+}
+
 // readHeaders validates the idempotency key and reads the priority and deadline.
 func (request *clientRequest) readHeaders(r *http.Request) *apiError {
 	if len(request.idempotencyKey) > 255 {
@@ -167,7 +183,7 @@
 func (f *Forwarder) handleChatCompletion(w http.ResponseWriter, r *http.Request) {
 	request, apiErr := f.newRequest(w, r)
 	if apiErr == nil {
-		apiErr = f.parseChatCompletion(request)
+		apiErr = f.parseChatCompletion(r, request)
 	}
 	if apiErr != nil {
 		f.countOutcome(request, "refused")
@@ -179,12 +195,17 @@
 
 // parseChatCompletion reads the fields that routing needs from the body of a chat
 // completion and checks that the model and adapter exist.
-func (f *Forwarder) parseChatCompletion(request *clientRequest) *apiError {
+func (f *Forwarder) parseChatCompletion(r *http.Request, request *clientRequest) *apiError {
 	var body struct {
 		Model    string          `json:"model"`
 		Stream   bool            `json:"stream"`
 		Messages json.RawMessage `json:"messages"`
 	}
+	release, err := request.held.AwaitWork(r.Context(), parseCopies)
+	if err != nil {
+		return &apiError{http.StatusServiceUnavailable, "body-refused", "not-run", "the caller left"}
+	}
+	defer release()
 	if err := json.Unmarshal(request.body, &body); err != nil {
 		return &apiError{http.StatusBadRequest, "body-not-json", "not-run", "the body is not valid JSON of a chat completion: " + err.Error()}
 	}
@@ -197,7 +218,7 @@
 	request.repeatable = true
 	request.path = "/v1/chat/completions"
 	request.contentType = "application/json"
-	request.fingerprint = quarantiner.Fingerprint(request.organisation, request.model, request.adapter, string(body.Messages))
+	request.fingerprint = quarantiner.BodyFingerprint([][]byte{body.Messages}, request.organisation, request.model, request.adapter)
 	request.prefixHash = quarantiner.Fingerprint(request.model, string(body.Messages[:min(len(body.Messages), prefixHashBytes)]))
 	return nil
 }
@@ -230,7 +251,7 @@
 	}
 	safeMethod := r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
 	request.repeatable = object.Service.Repeatable || safeMethod
-	request.fingerprint = quarantiner.Fingerprint(request.organisation, request.service, request.method, request.path, string(request.body))
+	request.fingerprint = quarantiner.BodyFingerprint([][]byte{request.body}, request.organisation, request.service, request.method, request.path)
 	return nil
 }
 
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -174,6 +174,10 @@
 	return dispatcher.CrashReportedMsg{CrashedReplicas: reply.Crash.Crashes[0]}
 }
 
+// encodeCopies is how often a body is copied as it is encoded for a side process: in a buffer that
+// grows by doubling, with four bytes for three, and in the message.
+const encodeCopies = 4
+
 // send starts a new attempt on the target group.
 func (x *execution) send(effect dispatcher.SendEffect) {
 	request := x.request
@@ -189,7 +193,12 @@
 	x.relay.startAttempt()
 	x.log.Debug("attempt sent", "request", request.id, "attempt", effect.Attempt, "group", effect.Target.Group, "epoch", effect.Target.Epoch)
 	x.startStep(func(ctx context.Context, post func(dispatcher.Msg)) dispatcher.Msg {
-		return x.readFrames(ctx, post, "http://"+effect.Target.Address+"/inner/attempt", attempt)
+		release, err := request.held.AwaitWork(ctx, encodeCopies)
+		if err != nil {
+			return dispatcher.ConnectionLostMsg{}
+		}
+		defer release()
+		return x.readFrames(ctx, post, "http://"+effect.Target.Address+"/inner/attempt", attempt, release)
 	})
 }
 
@@ -205,7 +214,7 @@
 			case <-time.After(reattachDelay):
 			}
 		}
-		msg := x.readFrames(ctx, post, "http://"+effect.Target.Address+"/inner/attach", request)
+		msg := x.readFrames(ctx, post, "http://"+effect.Target.Address+"/inner/attach", request, func() {})
 		lost, ok := msg.(dispatcher.ConnectionLostMsg)
 		if ok && !lost.AttemptUnknown {
 			lost.Sent = true
@@ -218,13 +227,14 @@
 // readFrames sends a request and reads the frames of its response until the final
 // frame, a connection failure, or frameTimeout without a frame. It posts all
 // frames except the final one as events and returns the final frame or the
-// failure.
-func (x *execution) readFrames(ctx context.Context, post func(dispatcher.Msg), url string, request any) dispatcher.Msg {
+// failure. It calls sent once the request is sent.
+func (x *execution) readFrames(ctx context.Context, post func(dispatcher.Msg), url string, request any, sent func()) dispatcher.Msg {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	idleTimer := time.AfterFunc(frameTimeout, func() { cancel(errFrameTimeout) })
 	defer idleTimer.Stop()
 	response, err := x.client.Post(ctx, url, request)
+	sent()
 	var statusErr *transporter.StatusError
 	switch {
 	case errors.As(err, &statusErr) && statusErr.Status == http.StatusNotFound:
--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -50,7 +49,7 @@
 	if err != nil {
 		return nil, ResponseMetadata{}, notExecuted, errors.Wrap(err, "build request")
 	}
-	request.ContentLength = int64(len(e.body))
+	request.ContentLength = int64(e.body.Len())
 	request.Host = e.r.Host
 	request.Header = g.dialect.ForwardHeader(e.r.Header, ForwardMetadata{
 		Instance: target.ID, Organisation: e.organisation, Timeout: g.stop.Load().boundDeadline(e.deadline) - timekeeper.Now(), LastEventID: e.lastEventID,
@@ -85,7 +84,7 @@
 // newForwardRequest returns a request with the method, target and body that the client
 // sent.
 func newForwardRequest(ctx context.Context, e *exchange, address string) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, e.r.Method, "http://"+address, io.NopCloser(bytes.NewReader(e.body)))
+	request, err := http.NewRequestWithContext(ctx, e.r.Method, "http://"+address, io.NopCloser(e.body.Reader()))
 	if err != nil {
 		return nil, err
 	}
@@ -213,6 +212,7 @@
 		return
 	}
 	e.outcome = "answered"
+	e.body.Release() // No further attempt sends it.
 	g.announceStop(e)
 	g.dialect.CopyResponseHeader(e.w.Header(), response.Header)
 	e.w.WriteHeader(response.StatusCode)
--- a/internal/gatekeeper/content.go
+++ b/internal/gatekeeper/content.go
@@ -27,7 +27,7 @@
 // identifyContent sets the fingerprint of a request and the keys of its content. The
 // last part of a prompt is the request's own, so that the fingerprint stands for it.
 func (e *exchange) identifyContent() {
-	e.fingerprint = quarantiner.Fingerprint(e.organisation, e.r.Host, e.r.Method, e.r.URL.RequestURI(), string(e.body))
+	e.fingerprint = quarantiner.BodyFingerprint(e.body.Segments(), e.organisation, e.r.Host, e.r.Method, e.r.URL.RequestURI())
 	e.content = []contentKey{{key: e.fingerprint}}
 	parts := e.metadata.PromptParts
 	for i := range max(0, len(parts)-1) {
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -110,6 +110,7 @@
 	Lease         time.Duration // Lease is how long after its confirmation a configuration may authenticate requests.
 	RetryRatio    float64       // RetryRatio is the declared number of retries per request.
 	Decode        func(document []byte) (*describer.Configuration, error)
+	Limits        *transporter.Limits // Limits bounds what requests and responses hold together; nil for no bound.
 }
 
 // activeConfig is the configuration in use and the time of its last confirmation.
@@ -166,7 +167,7 @@
 		cfg: cfg, log: logger, dialect: dialect, seeds: cfg.Seeds,
 		endpointClient: transporter.NewClient(transporter.WithDialTimeout(endpointDialTimeout), transporter.WithIdle(maxIdleConns, idleConnTimeout)),
 		controlClient:  transporter.NewClient(transporter.WithDialTimeout(controlDialTimeout)),
-		bufferPool:     transporter.NewPool(bufferPoolBytes),
+		bufferPool:     cfg.Limits.Pool(bufferPoolBytes),
 		chooser:        chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name)), chooser.WithName(cfg.Name)), retryBudget: retrier.New(cfg.RetryRatio*retryRatioShare, maxEarnedRetries),
 		throttler: throttler.New(), clientRetries: newClientRetryDetector(), streams: map[*streamAttempt]struct{}{}, observations: map[string]*observation{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
 		checks: map[bootKey]*listenerCheck{}, quarantine: newQuarantine(logger), doubts: newDoubts(),
--- a/internal/gatekeeper/serve.go
+++ b/internal/gatekeeper/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -11,6 +10,7 @@
 	"papayaseam/internal/describer"
 	"papayaseam/internal/quarantiner"
 	"papayaseam/internal/timekeeper"
+	"papayaseam/internal/transporter"
 
 	"github.com/cockroachdb/errors"
 )
@@ -39,7 +39,7 @@
 	route             describer.Route
 	service           describer.Service
 	organisation      string
-	body              []byte
+	body              *transporter.Body
 	fingerprint       string         // fingerprint is the same for all requests with this content of this organisation.
 	content           []contentKey   // content holds the keys by which the request is suspected or held.
 	knownCrashes      map[string]int // knownCrashes holds the crashes that were known under each key when the current attempt was sent.
@@ -180,18 +180,20 @@
 	return ""
 }
 
+// readRequestBody reads the body by the request's deadline. If it returns false, it has written
+// the response.
 func (g *Gatekeeper) readRequestBody(e *exchange, maxBytes int) bool {
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, int64(maxBytes)))
-	var tooLarge *http.MaxBytesError
+	body, err := transporter.ReadBody(e.w, e.r, maxBytes, e.deadline-e.startedAt)
 	switch {
-	case errors.As(err, &tooLarge):
-		http.Error(e.w, "the body is longer than the declared limit; send a shorter one", http.StatusRequestEntityTooLarge)
+	case err != nil && transporter.BodyStatus(err) == http.StatusServiceUnavailable:
+		g.reject(e, err.Error())
 		return false
 	case err != nil:
-		http.Error(e.w, "the body could not be read; send the request again", http.StatusBadRequest)
+		e.outcome, e.reason = "denied", err.Error()
+		http.Error(e.w, err.Error(), transporter.BodyStatus(err))
 		return false
 	}
 	e.body = body
--- a/internal/quarantiner/fingerprint.go
+++ b/internal/quarantiner/fingerprint.go
@@ -18,3 +18,17 @@
 	digest := sha256.Sum256([]byte(strings.Join(parts, "\x00")))
 	return hex.EncodeToString(digest[:fingerprintBytes])
 }
+
+// BodyFingerprint returns the Fingerprint of parts and, as the last one, a body that is given in
+// pieces. It copies no piece.
+func BodyFingerprint(body [][]byte, parts ...string) string {
+	digest := sha256.New()
+	for _, part := range parts {
+		_, _ = digest.Write([]byte(part))
+		_, _ = digest.Write([]byte{0})
+	}
+	for _, piece := range body {
+		_, _ = digest.Write(piece)
+	}
+	return hex.EncodeToString(digest.Sum(nil)[:fingerprintBytes])
+}
--- a/internal/runner/direct.go
+++ b/internal/runner/direct.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"slices"
 	"syscall"
 	"time"
@@ -13,27 +12,20 @@
 	"papayaseam/internal/configurer"
 	"papayaseam/internal/director"
 	"papayaseam/internal/gatekeeper"
-	"papayaseam/internal/transporter"
+	"papayaseam/internal/limiter"
 	"papayaseam/platform"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
-const (
-	// heapShare leaves room for stacks, buffers of the system and bytes that
-	// have arrived but are not yet read.
-	heapShare     = 0.6
-	bytesPerMB    = 1 << 20
-	settingsEvery = 500 * time.Millisecond
-)
+const settingsEvery = 500 * time.Millisecond
 
 // assembleDirect adds the roles that serve endpoints without side processes.
 func (p *process) assembleDirect(ctx context.Context) error {
 	s := p.settings
 	takeLibraryLogs(p.log)
-	debug.SetMemoryLimit(int64(heapShare * float64(s.Direct.MemoryMB*bytesPerMB)))
 	if s.Direct.MetricsOn != "" {
-		if err := p.listen(ctx, s.Direct.MetricsOn, metricsHandler()); err != nil {
+		if err := p.listen(ctx, s.Direct.MetricsOn, metricsHandler(), limiter.PortProbe); err != nil {
 			return err
 		}
 	}
@@ -69,17 +61,17 @@
 	p.drainers = append(p.drainers, d)
 	d.RegisterHandlers(p.inner)
 	p.actor(ctx, d.Run)
-	if err := p.listen(ctx, s.Address, p.inner); err != nil {
+	if err := p.listen(ctx, s.Address, p.inner, limiter.PortInner); err != nil {
 		return err
 	}
-	return p.listen(ctx, s.Listen, platform.Control(d))
+	return p.listen(ctx, s.Listen, platform.Control(d), limiter.PortMain)
 }
 
 func (p *process) addGatekeeper(ctx context.Context) error {
 	s := p.settings.Direct
 	g := gatekeeper.New(gatekeeper.Config{
 		Name: p.settings.Name, FailureDomain: p.settings.FailureDomain, Seeds: s.Seeds, Lease: s.Lease,
-		RetryRatio: s.RetryRatio, Decode: platform.DecodeConfiguration,
+		RetryRatio: s.RetryRatio, Decode: platform.DecodeConfiguration, Limits: p.limits,
 	}, platform.Dialect{}, p.log)
 	p.reseed = append(p.reseed, g.SetSeeds)
 	p.drainers = append(p.drainers, g)
@@ -90,16 +82,12 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	if err := p.listen(ctx, s.ReadyOn, ready); err != nil {
+	if err := p.listen(ctx, s.ReadyOn, ready, limiter.PortProbe); err != nil {
 		return err
 	}
-	return p.listen(ctx, s.Listen, g, transporter.WithIdleTimeout(clientIdle))
+	return p.listen(ctx, s.Listen, g, limiter.PortMain)
 }
 
-// clientIdle is above any declared idle limit, so that no client's connection
-// is closed while it may still be used.
-const clientIdle = time.Minute
-
 // watchSettings takes changed seeds from the settings file, at a signal or when
 // the file has changed without one.
 func (p *process) watchSettings(ctx context.Context) error {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +25,7 @@
 	"papayaseam/internal/exposer"
 	"papayaseam/internal/faker"
 	"papayaseam/internal/forwarder"
+	"papayaseam/internal/limiter"
 	"papayaseam/internal/planner"
 	"papayaseam/internal/supervisor"
 	"papayaseam/internal/transporter"
@@ -54,6 +56,7 @@
 	group    run.Group
 	drainers []drainer
 	reseed   []func(seeds []string)
+	limits   *transporter.Limits
 }
 
 // Run runs the process until it is stopped or an actor fails.
@@ -95,6 +98,7 @@
 func (p *process) assemble(ctx context.Context) error {
 	s := p.settings
 	p.health = exposer.NewHealth(conditions(s)...)
+	p.addLimits(ctx)
 	if s.IsDirect() {
 		return p.assembleDirect(ctx)
 	}
@@ -122,7 +126,7 @@
 		return nil
 	}
 	p.health.Register(p.inner)
-	return p.listen(ctx, s.Listen, p.inner, options...)
+	return p.listen(ctx, s.Listen, p.inner, limiter.PortInner, options...)
 }
 
 // conditions returns what must hold before the process is ready.
@@ -146,8 +150,16 @@
 	p.group.Add(func() error { return execute(ctx) }, func(error) { cancel() })
 }
 
-func (p *process) listen(ctx context.Context, address string, handler http.Handler, opts ...transporter.Option) error {
-	server, err := transporter.Listen(address, handler, opts...)
+// addLimits bounds the heap and what the clients of all ports can make the process hold.
+func (p *process) addLimits(ctx context.Context) {
+	bounds := p.settings.Limits
+	debug.SetMemoryLimit(bounds.HeapBytes())
+	p.limits = transporter.NewLimits(bounds, p.log)
+	p.actor(ctx, p.limits.Run)
+}
+
+func (p *process) listen(ctx context.Context, address string, handler http.Handler, use limiter.Port, opts ...transporter.Option) error {
+	server, err := transporter.Listen(address, handler, append(opts, transporter.WithLimits(p.limits, use))...)
 	if err != nil {
 		return err
 	}
@@ -212,7 +224,7 @@
 	p.health.Register(api)
 	p.drainers = append(p.drainers, entry)
 	p.actor(ctx, entry.Run)
-	return p.listen(ctx, s.APIListen, api)
+	return p.listen(ctx, s.APIListen, api, limiter.PortMain)
 }
 
 func (p *process) addEndpoint(ctx context.Context) error {
@@ -228,7 +240,7 @@
 	if !s.Has(configurer.RoleSide) {
 		p.drainers = append(p.drainers, endpoint)
 	}
-	return p.listen(ctx, e.Listen, mux)
+	return p.listen(ctx, e.Listen, mux, limiter.PortMain)
 }
 
 // waitForStop drains at the first signal and ends the process when that is
--- a/internal/transporter/options.go
+++ b/internal/transporter/options.go
@@ -5,26 +5,33 @@
 	"net"
 	"net/http"
 	"time"
+
+	"papayaseam/internal/limiter"
 )
 
 // Option changes a setting of a Server.
-type Option func(*http.Server)
+type Option func(*Server)
 
 // WithClosed calls a function with the remote address of each connection that
 // was closed.
 func WithClosed(closed func(remote string)) Option {
-	return func(server *http.Server) {
-		server.ConnState = func(conn net.Conn, state http.ConnState) {
+	return func(s *Server) {
+		s.connStates = append(s.connStates, func(conn net.Conn, state http.ConnState) {
 			if state == http.StateClosed {
 				closed(conn.RemoteAddr().String())
 			}
-		}
+		})
 	}
 }
 
-// WithIdleTimeout sets how long a connection may stay idle between requests.
-func WithIdleTimeout(d time.Duration) Option {
-	return func(server *http.Server) { server.IdleTimeout = d }
+// WithLimits keeps what the clients of a port make the process hold within limits; nil changes
+// nothing.
+func WithLimits(limits *Limits, use limiter.Port) Option {
+	return func(s *Server) {
+		if limits != nil {
+			limits.limit(s, use)
+		}
+	}
 }
 
 // ClientOption changes a setting of a Client.
--- a/internal/transporter/server.go
+++ b/internal/transporter/server.go
@@ -15,6 +15,8 @@
 	listener     net.Listener
 	server       *http.Server
 	closeTimeout time.Duration
+	port         *port // port bounds the connections; nil without limits.
+	connStates   []func(conn net.Conn, state http.ConnState)
 }
 
 // closeTimeout bounds what the answers under way may take when a server ends. Handlers
@@ -23,15 +25,39 @@
 
 // Listen opens the address and returns a server for the handler.
 func Listen(address string, handler http.Handler, opts ...Option) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	s := &Server{server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}, closeTimeout: closeTimeout}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.server.ConnState = s.connStateChanged
+	var config net.ListenConfig
+	if s.port != nil {
+		config.Control = boundBuffers
+	}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s; choose a free address in the settings", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	for _, opt := range opts {
-		opt(server)
+	s.listener = listener
+	return s, nil
+}
+
+func (s *Server) connStateChanged(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*limitedConn); ok && state == http.StateIdle {
+		c.enter(stateWaiting)
+	}
+	for _, changed := range s.connStates {
+		changed(conn, state)
+	}
+}
+
+// accepting returns the listener with its counts and limits.
+func (s *Server) accepting() net.Listener {
+	listener := countedListener{s.listener}
+	if s.port == nil {
+		return listener
 	}
-	return &Server{listener: listener, server: server, closeTimeout: closeTimeout}, nil
+	return limitedListener{listener, s.port}
 }
 
 // Address returns the address in use.
@@ -41,7 +67,7 @@
 // connections.
 func (s *Server) Run(ctx context.Context) error {
 	ended := make(chan error, 1)
-	go func() { ended <- s.server.Serve(countedListener{s.listener}) }()
+	go func() { ended <- s.server.Serve(s.accepting()) }()
 	select {
 	case <-ctx.Done():
 		s.close()
@@ -60,10 +86,30 @@
 	}
 }
 
-// Read decodes a message from a request and answers 400 where it can not.
+// decodeCopies is how often a message is copied as it is decoded: its texts, and those of them
+// that are decoded once more.
+const decodeCopies = 2
+
+// Read decodes a message from a request and answers an error where it can not.
 func Read(w http.ResponseWriter, r *http.Request, in any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxInnerBytes)).Decode(in)
+	body, err := ReadBody(w, r, maxInnerBytes, 0)
 	if err != nil {
+		WriteBodyError(w, err)
+		return false
+	}
+	defer body.Release()
+	data, err := body.Bytes()
+	if err != nil {
+		WriteBodyError(w, err)
+		return false
+	}
+	release, err := body.AwaitWork(r.Context(), decodeCopies)
+	if err != nil {
+		WriteBodyError(w, ErrBodyRefused)
+		return false
+	}
+	defer release()
+	if err := json.Unmarshal(data, in); err != nil {
 		http.Error(w, "the message is not valid JSON of its schema: "+err.Error(), http.StatusBadRequest)
 		return false
 	}
--- a/internal/transporter/whole.go
+++ b/internal/transporter/whole.go
@@ -4,6 +4,8 @@
 	"io"
 	"sync/atomic"
 
+	"papayaseam/internal/limiter"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -26,7 +28,11 @@
 
 // Pool bounds the bytes that large bodies hold together. It is safe for
 // concurrent use.
-type Pool struct{ left atomic.Int64 }
+type Pool struct {
+	left   atomic.Int64
+	limits *Limits // limits holds the bytes of this pool too, under id; nil for none.
+	id     uint64
+}
 
 // NewPool returns a pool of so many bytes.
 func NewPool(bytes int) *Pool {
@@ -35,6 +41,15 @@
 	return p
 }
 
+// Pool returns a pool of so many bytes, which also count in the budget of the limits.
+func (l *Limits) Pool(bytes int) *Pool {
+	p := NewPool(bytes)
+	if l != nil {
+		p.limits, p.id = l, l.begin(nil)
+	}
+	return p
+}
+
 // Read returns a whole body of at most so many bytes, and what it holds of the
 // pool, to be given back by Release. It returns ErrEndless for a longer body
 // and ErrHeld where the pool is empty; what was held then is released.
@@ -103,7 +118,7 @@
 
 // Reserve takes bytes, to be given back by Release, or reports that there are not enough.
 func (p *Pool) Reserve(n int) bool {
-	if p.left.Add(int64(-n)) >= 0 {
+	if p.left.Add(int64(-n)) >= 0 && (p.limits == nil || p.limits.ask(p.id, n)) {
 		return true
 	}
 	p.left.Add(int64(n))
@@ -111,7 +126,12 @@
 }
 
 // Release gives bytes back.
-func (p *Pool) Release(n int) { p.left.Add(int64(n)) }
+func (p *Pool) Release(n int) {
+	p.left.Add(int64(n))
+	if p.limits != nil && n > 0 {
+		p.limits.update(limiter.ReturnMsg{ID: p.id, Bytes: n})
+	}
+}
 
 // discard reads what is left of a small answer, so that its connection can be
 // used again; a longer rest ends with the connection.
