--- a/internal/forwarder/answer_test.go
+++ b/internal/forwarder/answer_test.go
@@ -1,12 +1,14 @@
 package forwarder
 
 import (
+	"bytes"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"papayaseam/internal/dispatcher"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/transporter"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -143,3 +145,26 @@
 		assert.Equal(t, verified.Verdict, want, "ended after %q", whole[:cut])
 	}
 }
+
+// Guards against responses of many requests that are buffered without a bound, and against a
+// response that is cut and passed on as whole.
+func TestResponsesThatAreBufferedHoldABoundedAmount(t *testing.T) {
+	pool := transporter.NewPool(1 << 20)
+	part := bytes.Repeat([]byte("x"), 1<<20)
+	relays := []*responseRelay{}
+	for i := range 2 {
+		w := httptest.NewRecorder()
+		relay := newResponseRelay(w, &clientRequest{id: "r1"})
+		relay.pool = pool
+		relay.deliver(messenger.Frame{Status: 200, ContentType: "text/plain", Data: part})
+		result := relay.finish(dispatcher.FinishEffect{Verdict: dispatcher.Answered})
+		assert.Equal(t, result.Verdict == dispatcher.Answered, i == 0)
+		assert.Equal(t, w.Body.Len() == len(part), i == 0)
+		relays = append(relays, relay)
+	}
+	for _, relay := range relays {
+		relay.release()
+		relay.release()
+	}
+	assert.Assert(t, pool.Reserve(1<<20), "all that was held is released")
+}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -154,3 +154,12 @@
 		}
 	})
 }
+
+// Guards against a body that has another fingerprint if it is read in other pieces, or than it
+// had before it was read in pieces.
+func TestBodyFingerprintDoesNotDependOnPieces(t *testing.T) {
+	want := quarantiner.Fingerprint("press", "/verse/1", "parchment")
+	assert.Equal(t, quarantiner.BodyFingerprint([][]byte{[]byte("parchment")}, "press", "/verse/1"), want)
+	assert.Equal(t, quarantiner.BodyFingerprint([][]byte{[]byte("parch"), nil, []byte("ment")}, "press", "/verse/1"), want)
+	assert.Equal(t, quarantiner.BodyFingerprint(nil, "press"), quarantiner.Fingerprint("press", ""))
+}
--- a/internal/transporter/accept.go
+++ b/internal/transporter/accept.go
@@ -220,7 +220,10 @@
 }
 
 func (c *limitedConn) endRequest() {
-	c.unreadSince.Store(0)
+	if c.unreadSince.Swap(0) > 0 {
+		// The HTTP library reads a small rest of the body before the connection's next request.
+		_ = c.SetReadDeadline(time.Now().Add(refusedTime))
+	}
 	c.body.Swap(nil).Release()
 	c.enter(stateFinishing)
 }
--- a/internal/transporter/accept_test.go
+++ b/internal/transporter/accept_test.go
@@ -93,7 +93,9 @@
 
 // Guards against large heads without an end that hold memory together.
 func TestLargeHeadsTogetherAreBounded(t *testing.T) {
-	l, address := runLimited(t, smallBounds(), func(http.ResponseWriter, *http.Request) {})
+	bounds := smallBounds()
+	bounds.HeadTime = time.Hour // Only the bound of all heads ends one.
+	l, address := runLimited(t, bounds, func(http.ResponseWriter, *http.Request) {})
 	head := "GET / HTTP/1.1\r\nHost: a\r\nX-Field: " + strings.Repeat("x", 60<<10)
 	bound := int64(l.bounds.HeadBytes())
 	var conns []net.Conn
--- a/internal/transporter/body.go
+++ b/internal/transporter/body.go
@@ -18,7 +18,7 @@
 const (
 	// segmentBytes is the size of a full segment of a body.
 	segmentBytes = 64 << 10
-	// refusedTime is how long the rest of a refused body is read, so that a client that still
+	// refusedTime is how long the rest of a body is read that is refused or not read by its handler, so that a client that still
 	// sends can see the answer.
 	refusedTime = 500 * time.Millisecond
 	// bodyRetryDelay is when a client whose body was refused should send it again: by then
