Limiter: shares for the inner port and for answers that a side keeps

Cause: the inner port's fifth of 4,100 descriptors is 820 connections, less than four for each of 300 machines, which a leader may have. The answers that a side process keeps (keep-mb, 48 MB) counted in no share of a machine of 152 MB. Each connection beyond the bound allocated two lists of all connections.

A side keeps answers in at most a fifth of memory-mb. The lists are used again.

--- a/internal/limiter/bounds.go
+++ b/internal/limiter/bounds.go
@@ -12,6 +12,8 @@
 	// workShare is the part of the memory for the copies that are made of large bodies as
 	// they are decoded and encoded.
 	workShare = 0.15
+	// keepShare is the part of the memory for answers that a side process keeps.
+	keepShare = 0.2
 	// headShare is the part of the memory for heads that are above FreeHeadBytes.
 	headShare = 0.05
 	// connectionShare is the part of the memory for connections that wait.
@@ -50,8 +52,10 @@
 )
 
 // portShares are the parts of the descriptors for the connections that each port accepts.
-// The rest is for connections to other processes, files and the process itself.
-var portShares = map[Port]float64{PortMain: 0.5, PortInner: 0.2, PortProbe: 0.05}
+// The rest is for connections to other processes, files and the process itself. A leader of
+// 300 machines accepts some connections of each at its inner port; an entry without side
+// processes has none, and what it leaves is for its connections to endpoints.
+var portShares = map[Port]float64{PortMain: 0.5, PortInner: 0.35, PortProbe: 0.05}
 
 // Bounds are the bounds of one process.
 type Bounds struct {
@@ -85,6 +89,9 @@
 // WorkBytes returns the budget of the copies of large bodies.
 func (b Bounds) WorkBytes() int { return b.share(workShare) }
 
+// KeepBytes returns the budget of the answers that a side process keeps.
+func (b Bounds) KeepBytes() int { return b.share(keepShare) }
+
 // HeadBytes returns the budget of heads above FreeHeadBytes.
 func (b Bounds) HeadBytes() int { return b.share(headShare) }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -204,7 +204,7 @@
 	s := p.settings
 	side := supervisor.New(supervisor.Config{
 		Name: s.Name, Address: s.Advertise, Region: s.Region, FailureDomain: s.FailureDomain, FabricDomain: s.FabricDomain,
-		ControlAddresses: s.Addresses(), QueueSize: s.Queue, DrainTimeout: s.Drain, MaxRetainedBytes: s.KeepBytes, Limits: p.limits,
+		ControlAddresses: s.Addresses(), QueueSize: s.Queue, DrainTimeout: s.Drain, MaxRetainedBytes: min(s.KeepBytes, s.Limits.KeepBytes()), Limits: p.limits,
 	}, p.log, p.health)
 	side.Register(p.inner)
 	p.drainers = append(p.drainers, side)
--- a/internal/transporter/accept.go
+++ b/internal/transporter/accept.go
@@ -37,6 +37,8 @@
 	mu          sync.Mutex
 	connections map[*limitedConn]struct{}
 	addresses   map[string]int // addresses counts the connections by address; nil without such a bound.
+	compared    []*limitedConn // compared and views are used again by each comparison: a flood makes many.
+	views       []limiter.Connection
 }
 
 // limitedListener accepts connections within the limits.
@@ -96,17 +98,16 @@
 
 // longestWaiting returns the connection to close for another one; mu is held.
 func (p *port) longestWaiting() *limitedConn {
-	connections, views := p.views()
-	if i := limiter.LongestWaiting(views); i >= 0 {
-		return connections[i]
+	p.compared, p.views = p.view(p.compared[:0], p.views[:0])
+	defer clear(p.compared)
+	if i := limiter.LongestWaiting(p.views); i >= 0 {
+		return p.compared[i]
 	}
 	return nil
 }
 
-// views returns the connections and what is known of them; mu is held.
-func (p *port) views() ([]*limitedConn, []limiter.Connection) {
-	connections := make([]*limitedConn, 0, len(p.connections))
-	views := make([]limiter.Connection, 0, len(p.connections))
+// view appends the connections and what is known of them; mu is held.
+func (p *port) view(connections []*limitedConn, views []limiter.Connection) ([]*limitedConn, []limiter.Connection) {
 	for c := range p.connections {
 		connections = append(connections, c)
 		views = append(views, limiter.Connection{
--- a/internal/transporter/sweep.go
+++ b/internal/transporter/sweep.go
@@ -107,7 +107,7 @@
 	l.mu.Unlock()
 	for _, p := range ports {
 		p.mu.Lock()
-		connections, views := p.views()
+		connections, views := p.view(nil, nil)
 		p.mu.Unlock()
 		now := l.now()
 		for _, i := range l.bounds.TooSlow(views, now) {
