--- a/e2e/flood/connection_test.go
+++ b/e2e/flood/connection_test.go
@@ -52,3 +52,17 @@
 		_, _ = fmt.Fprintf(conn, "%sContent-Length: 0\r\n\r\n", to.head)
 	})
 }
+
+// Guards against answers that the product's own entry buffers for clients that do not read
+// them: the service answers with what it was sent.
+func TestCallersThatDoNotRead(t *testing.T) {
+	s := startProduct(t)
+	assert.Assert(t, s.largest())
+	to := s.toEntry("/services/desk/new")
+	body := bytes.Repeat([]byte("1"), answerBytes)
+	s.flooded(readers, s.entry, s.ordinary, func(_ int, conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetReadBuffer(4096)
+		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", to.head, len(body))
+		_, _ = conn.Write(body)
+	})
+}
