--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -121,7 +121,8 @@
 	// OrganisationShares says for which services priorities and shares of organisations
 	// are in effect; empty is rationer.Auto.
 	OrganisationShares rationer.Mode
-	Health             HealthClient // Health checks endpoints that broke; nil for an entry that checks none.
+	Health             HealthClient        // Health checks endpoints that broke; nil for an entry that checks none.
+	Limits             *transporter.Limits // Limits bounds what requests and responses hold together; nil for no bound.
 }
 
 // activeConfig is the configuration in use and the time of its last confirmation.
@@ -181,7 +182,7 @@
 		cfg: cfg, log: logger, dialect: dialect, seeds: cfg.Seeds,
 		endpointClient: transporter.NewClient(transporter.WithDialTimeout(endpointDialTimeout), transporter.WithIdle(maxIdleConns, idleConnTimeout)),
 		controlClient:  transporter.NewClient(transporter.WithDialTimeout(controlDialTimeout)),
-		bufferPool:     transporter.NewPool(bufferPoolBytes),
+		bufferPool:     cfg.Limits.Pool(bufferPoolBytes),
 		chooser:        chooser.New(cfg.FailureDomain, chooser.WithSeed(xxhash.Sum64String(cfg.Name)), chooser.WithName(cfg.Name)), retryBudget: retrier.New(cfg.RetryRatio*retryRatioShare, maxEarnedRetries),
 		throttler: throttler.New(), rationer: rationer.New(), clientRetries: newClientRetryDetector(), streams: map[*streamAttempt]struct{}{}, observations: map[string]*observation{}, demand: map[demandKey]float64{}, viewer: viewer.New(),
 		checks: map[bootKey]*listenerCheck{}, quarantine: newQuarantine(logger), doubts: newDoubts(),
