Chooser: endpoints of evacuated domains are neither checked nor waited for

Cause: where one failure domain is evacuated and the endpoints of the other are cold, AllCold saw the evacuated endpoint as a warm one, so that the refusal was counted as a lack of slots (which also marks a rationed model as short), or its bucket gave a Retry-After for an endpoint that gets nothing. Health checks of endpoints that broke went to evacuated failure domains. Change: AllCold leaves out endpoints in closed failure domains, as ReturnIn does. DueCheck skips them; they are checked once the evacuation is revoked. Result: TestWaitForColdEndpointsLeavesOutEvacuatedOnes and TestEndpointsInEvacuatedDomainsAreNotChecked failed before and pass now.

--- a/internal/chooser/cold.go
+++ b/internal/chooser/cold.go
@@ -163,12 +163,12 @@
 }
 
 // AllCold reports whether all endpoints that serve the model, except those that want no
-// requests, are cold or may be cold since they broke, and how long it takes until one is
-// warm or may get a request; 0 if that is not known. ColdTime is how long an endpoint of
-// the service is cold.
+// requests and those in closed failure domains, are cold or may be cold since they broke,
+// and how long it takes until one is warm or may get a request; 0 if that is not known.
+// ColdTime is how long an endpoint of the service is cold.
 func (c *Chooser) AllCold(service, model string, coldTime, now time.Duration) (wait time.Duration, all bool) {
 	for id, cand := range c.candidates {
-		if cand.service != service || cand.model != model || c.StaysAway(cand.target, now) {
+		if cand.service != service || cand.model != model || c.closed(cand) || c.StaysAway(cand.target, now) {
 			continue
 		}
 		if c.cold.buckets[id] == nil && !c.cold.isHeld(id, now) {
--- a/internal/chooser/cold_test.go
+++ b/internal/chooser/cold_test.go
@@ -228,3 +228,21 @@
 		other.Update(AttemptStartedMsg{ID: b.ID})
 	}
 }
+
+// TestWaitForColdEndpointsLeavesOutEvacuatedOnes guards against a refusal that counts as a
+// lack of slots, or that tells a wait until an endpoint which gets nothing could take a
+// request, where one failure domain is evacuated and the endpoints of the other are cold.
+func TestWaitForColdEndpointsLeavesOutEvacuatedOnes(t *testing.T) {
+	for _, evacuatedIsCold := range []bool{false, true} {
+		c := New("d0")
+		msg := newFleet(2, idle)
+		msg.Now = time.Minute
+		msg.Endpoints[0].Cold, msg.Endpoints[1].Cold = evacuatedIsCold, true
+		c.Update(msg)
+		c.Update(ShareMsg{Now: time.Minute, Until: time.Minute + time.Second, Shares: []ColdShare{{"s", "d0", 32}, {"s", "d1", 2}}})
+		c.Update(EvacuationMsg{Now: time.Minute, Domains: []string{"d0"}, PhaseOutEnd: time.Minute})
+		wait, all := c.AllCold("s", "m", 3*time.Second, time.Minute)
+		assert.Assert(t, all)
+		assert.Equal(t, wait, 500*time.Millisecond)
+	}
+}
--- a/internal/chooser/verify.go
+++ b/internal/chooser/verify.go
@@ -102,11 +102,12 @@
 }
 
 // DueCheck returns an endpoint whose health must be checked now, and false if there is
-// none. The check must end with a CheckedMsg.
+// none. The check must end with a CheckedMsg. Endpoints in closed failure domains, to which
+// nothing is sent, are checked once the evacuation is revoked.
 func (c *Chooser) DueCheck(now time.Duration) (Target, string, bool) {
 	for _, id := range slices.Sorted(maps.Keys(c.cold.verifications)) {
 		v, cand := c.cold.verifications[id], c.candidates[id]
-		if !v.pending || now < v.dueAt || cand == nil {
+		if !v.pending || now < v.dueAt || cand == nil || c.remaining(cand.domain, now) == 0 {
 			continue
 		}
 		v.dueAt = now + checkLimit
--- a/internal/chooser/verify_test.go
+++ b/internal/chooser/verify_test.go
@@ -105,3 +105,17 @@
 	_, _, ok := c.DueCheck(time.Hour)
 	assert.Assert(t, !ok)
 }
+
+// TestEndpointsInEvacuatedDomainsAreNotChecked guards against health checks to the servers
+// of a failure domain to which nothing must be sent, and against an endpoint that stays
+// unchecked after the evacuation was revoked.
+func TestEndpointsInEvacuatedDomainsAreNotChecked(t *testing.T) {
+	c := brokenFleet()
+	c.Update(evacuation(time.Minute, "d0"))
+	_, _, due := c.DueCheck(time.Minute + phaseOutTime)
+	assert.Assert(t, !due)
+	c.Update(EvacuationMsg{Now: time.Minute + time.Hour})
+	target, _, due := c.DueCheck(time.Minute + time.Hour)
+	assert.Assert(t, due)
+	assert.Equal(t, target.ID, "e0")
+}
