Gatekeeper: check an evacuation again right before a request is sent

Cause: a request that was picked before the end of the phase-out was sent whatever time had passed since, so that a process that was suspended meanwhile, or got no processor time, sent to an evacuated failure domain after the bound; the lease and the share of a cold endpoint were checked at this place, the evacuation was not. recordSentToEvacuated took the lock of the entry for each attempt, also where nothing was ever evacuated. Change: dispatch refuses the attempt as not run, and the request goes to another endpoint. While nothing is evacuated, both places cost an atomic load and no lock. Result: TestRequestChosenBeforeTheEndOfThePhaseOutIsNotSentAfterIt failed before and passes now; go test ./internal/gatekeeper passes.

--- a/internal/gatekeeper/attempt.go
+++ b/internal/gatekeeper/attempt.go
@@ -46,6 +46,9 @@
 	if active := g.active.Load(); e.organisation != "" && g.expired(active) {
 		return nil, ResponseMetadata{}, notExecuted, errors.New("the lease on the configuration has expired")
 	}
+	if g.isClosed(target) {
+		return nil, ResponseMetadata{}, notExecuted, errEvacuated
+	}
 	if !g.maySend(e, target) {
 		return nil, ResponseMetadata{}, notExecuted, errNoShare
 	}
--- a/internal/gatekeeper/evacuate.go
+++ b/internal/gatekeeper/evacuate.go
@@ -8,8 +8,10 @@
 	"papayaseam/internal/chooser"
 	"papayaseam/internal/evacuator"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/timekeeper"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -36,6 +38,7 @@
 	domains := g.evacuations.Domains()
 	end := g.phaseOutEnd(now)
 	g.chooser.Update(chooser.EvacuationMsg{Now: now, Domains: domains, PhaseOutEnd: end})
+	g.anyEvacuated.Store(len(domains) > 0)
 	metrics.GetOrCreateGauge("papayaseam_evacuated_domains", nil).Set(float64(len(domains)))
 	g.log.Info("evacuations applied", "revision", list.Revision, "evacuated", len(domains),
 		"failure-domains", strings.Join(domains[:min(len(domains), maxLoggedDomains)], ","), "phase-out-ms", max(end-now, 0).Milliseconds())
@@ -53,12 +56,34 @@
 	return min(now+share(phaseOutShare), active.confirmedAt+share(contactShare))
 }
 
+// errEvacuated is returned for an attempt at an endpoint whose failure domain has become
+// closed since the endpoint was picked.
+var errEvacuated = errors.New("the endpoint's failure domain is evacuated; trying another endpoint")
+
+// closedFrom returns from when on no request may be sent to an endpoint, or false if its
+// failure domain is not evacuated. It takes no lock while none is.
+func (g *Gatekeeper) closedFrom(target chooser.Target) (time.Duration, bool) {
+	if !g.anyEvacuated.Load() {
+		return 0, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.chooser.PhaseOutEnd(target)
+}
+
+// isClosed reports whether no request may be sent to an endpoint because its failure domain
+// is evacuated. It is checked right before a request is sent, since the process may have
+// been suspended after the endpoint was picked.
+func (g *Gatekeeper) isClosed(target chooser.Target) bool {
+	end, ok := g.closedFrom(target)
+	return ok && timekeeper.Now() >= end
+}
+
 // recordSentToEvacuated counts a request that was sent to an evacuated failure domain, and
-// logs one that was sent after the end of its phase-out: it was chosen before.
+// logs one that was sent after the end of its phase-out: the phase-out ended between the
+// last check and the send.
 func (g *Gatekeeper) recordSentToEvacuated(e *exchange, target chooser.Target, sentAt time.Duration) {
-	g.mu.Lock()
-	end, ok := g.chooser.PhaseOutEnd(target)
-	g.mu.Unlock()
+	end, ok := g.closedFrom(target)
 	if !ok || sentAt == 0 {
 		return
 	}
--- a/internal/gatekeeper/evacuate_test.go
+++ b/internal/gatekeeper/evacuate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -142,3 +144,39 @@
 	assert.Assert(t, strings.Contains(out.String(), "request sent to an evacuated failure domain"))
 	assert.Assert(t, strings.Contains(out.String(), "chosen-ms=-2000 sent-ms=1000"), out.String())
 }
+
+// plainDialect sends no headers of its own and reads every answer as a served one.
+type plainDialect struct{ Dialect }
+
+func (plainDialect) ForwardHeader(http.Header, ForwardMetadata) http.Header { return http.Header{} }
+func (plainDialect) ParseResponse(int, http.Header) ResponseMetadata        { return ResponseMetadata{} }
+
+// TestRequestChosenBeforeTheEndOfThePhaseOutIsNotSentAfterIt guards against a request that
+// reaches an evacuated failure domain after the bound because the process was suspended, or
+// got no processor time, between the choice of the endpoint and the send.
+func TestRequestChosenBeforeTheEndOfThePhaseOutIsNotSentAfterIt(t *testing.T) {
+	received := 0
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received++ }))
+	defer server.Close()
+	now := timekeeper.Now()
+	g, _ := newEvacuatingEntry(now)
+	g.dialect = plainDialect{}
+	send := func() verdict {
+		r := httptest.NewRequest(http.MethodPost, "/orders/1", http.NoBody)
+		e := &exchange{r: r, startedAt: now, deadline: now + time.Minute, chosenAt: now}
+		response, _, v, err := g.dispatch(t.Context(), e, chooser.Target{ID: "a", BootTime: 1, Address: server.Listener.Addr().String()})
+		if err == nil {
+			assert.NilError(t, response.Body.Close())
+		}
+		return v
+	}
+	assert.Equal(t, send(), answered)
+	g.applyEvacuations(evacuated(1, "d0"), now)
+	assert.Equal(t, send(), answered, "requests are phased out first")
+	g.applyEvacuations(evacuated(2), now)
+	g.applyEvacuations(evacuated(3, "d0"), now-time.Minute)
+	assert.Equal(t, send(), notExecuted)
+	assert.Equal(t, received, 2)
+	g.applyEvacuations(evacuated(4), now)
+	assert.Equal(t, send(), answered, "the evacuation is revoked")
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -144,6 +144,7 @@
 	ending         context.Context // ending ends when a planned stop leaves requests no more time.
 	endRequests    context.CancelFunc
 	random         func() float64 // random returns a number from 0 up to 1.
+	anyEvacuated   atomic.Bool    // anyEvacuated is set while any failure domain is evacuated.
 
 	mu            sync.Mutex
 	seeds         []string
