Chooser: check the health of the endpoint that is due for longest

Cause: DueCheck returned the first endpoint by name that was due. An entry makes 16 checks at once, and one of an unreachable endpoint takes 0.3 s and is due again after 1 s, so that some 80 unreachable endpoints took all checks: an endpoint with a later name that broke once, and answers, was not checked, and got no request from this entry, for as long as the entry was cut off from the others. Change: the check that is due for longest goes first.

--- a/internal/chooser/draw.go
+++ b/internal/chooser/draw.go
@@ -1,8 +1,6 @@
 package chooser
 
-import (
-	"slices"
-)
+import "slices"
 
 // Pick returns a random endpoint that can start the request soon enough, or
 // false if there is none. The probability of an endpoint grows with the square
@@ -86,10 +84,10 @@
 // of what arrives once the preferred groups are nearly full.
 const preferredWeight = 60
 
-// freeShareCap returns the largest free share that weight counts, derived from
-// the mean over the groups that serve the model outside the excluded failure domains. Without the cap, a group that
-// has just opened would get requests from all entries at once and process their
-// prompts late.
+// freeShareCap returns the largest free share that weight counts, derived from the
+// mean over the groups that serve the model outside the excluded failure domains.
+// Without the cap, a group that has just opened would get requests from all entries
+// at once and process their prompts late.
 func (c *Chooser) freeShareCap(req Request, excluded []string) float64 {
 	sum, n := 0.0, 0
 	for _, cand := range c.candidates {
--- a/internal/chooser/verify.go
+++ b/internal/chooser/verify.go
@@ -1,8 +1,8 @@
 package chooser
 
 import (
+	"cmp"
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -46,7 +46,7 @@
 	pending   bool          // pending is set until a check that began after the break was answered.
 	dueAt     time.Duration // dueAt is when the next check is due.
 	interval  time.Duration // interval is the time to the check after the next failed one.
-	coldUntil time.Duration // coldUntil is until when the endpoint is cold by its own word.
+	coldUntil time.Duration // coldUntil is until when the endpoint is cold, as it reported.
 }
 
 // broken begins the verification of an endpoint. It goes on where one is under way.
@@ -94,24 +94,30 @@
 }
 
 // isHeld reports whether an endpoint gets nothing since it broke: it was not checked yet,
-// or is cold by its own word. Where the view knows it as cold, this entry's share tells
+// or reported that it is cold. Where the view has it as cold, this entry's share tells
 // what it may get.
 func (s *coldState) isHeld(id string, now time.Duration) bool {
 	v := s.verifications[id]
 	return v != nil && (v.pending || (now < v.coldUntil && s.buckets[id] == nil))
 }
 
-// DueCheck returns an endpoint whose health must be checked now, and false if there is
-// none. The check must end with a CheckedMsg. Endpoints in closed failure domains, to which
+// DueCheck returns the endpoint whose health check is due for longest, and false if none is
+// due. The check must end with a CheckedMsg. Endpoints in closed failure domains, to which
 // nothing is sent, are checked once the evacuation is revoked.
 func (c *Chooser) DueCheck(now time.Duration) (Target, string, bool) {
-	for _, id := range slices.Sorted(maps.Keys(c.cold.verifications)) {
-		v, cand := c.cold.verifications[id], c.candidates[id]
+	due := ""
+	for id, v := range c.cold.verifications {
+		cand := c.candidates[id]
 		if !v.pending || now < v.dueAt || cand == nil || c.remaining(cand.domain, now) == 0 {
 			continue
 		}
-		v.dueAt = now + checkLimit
-		return cand.target, cand.service, true
+		if due == "" || cmp.Or(cmp.Compare(v.dueAt, c.cold.verifications[due].dueAt), cmp.Compare(id, due)) < 0 {
+			due = id
+		}
+	}
+	if due == "" {
+		return Target{}, "", false
 	}
-	return Target{}, "", false
+	c.cold.verifications[due].dueAt = now + checkLimit
+	return c.candidates[due].target, c.candidates[due].service, true
 }
--- a/internal/chooser/verify_test.go
+++ b/internal/chooser/verify_test.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -119,3 +120,27 @@
 	assert.Assert(t, due)
 	assert.Equal(t, target.ID, "e0")
 }
+
+// TestUnreachableEndpointsDoNotDelayOtherChecksForGood guards against an endpoint that is
+// never checked, and so gets nothing, while an entry is cut off from a whole failure domain:
+// more endpoints are due again than can be checked at once.
+func TestUnreachableEndpointsDoNotDelayOtherChecksForGood(t *testing.T) {
+	const endpoints, atOnce, took = 150, 16, 300 * time.Millisecond
+	c := New("d0")
+	c.Update(newFleet(endpoints, idle))
+	for i := range endpoints {
+		c.Update(BrokenMsg{Now: time.Minute, ID: fmt.Sprint("e", i), BootTime: 1})
+	}
+	checked := map[string]bool{}
+	for now := time.Minute; now < time.Minute+10*time.Second; now += took {
+		for range atOnce {
+			target, _, ok := c.DueCheck(now)
+			if !ok {
+				break
+			}
+			checked[target.ID] = true
+			c.Update(CheckedMsg{StartedAt: now, Now: now + took, ID: target.ID, BootTime: 1})
+		}
+	}
+	assert.Equal(t, len(checked), endpoints)
+}
