Director: call the failure domains without requests drained

Change: renamed to drained, the usual term for servers that get no further requests; the constant says which phase-out it follows. No change of behaviour.

--- a/internal/director/cold.go
+++ b/internal/director/cold.go
@@ -26,14 +26,15 @@
 	meter  *sharer.Meter  // meter measures the demand of the entries that ask this process.
 	demand bool           // demand is set once a client asked for a service whose cold endpoints are limited.
 	counts map[string]int // counts holds the number of cold endpoints by service, as last logged.
-	// quiet holds the failure domains to whose endpoints nothing is sent. These may become
-	// cold at any time, and their announcements are no proof for later.
-	quiet   map[string]bool
+	// drained holds the failure domains that are evacuated and whose phase-out is over.
+	// Endpoints that get no requests may become cold at any time, so that they count as
+	// cold whatever they announce.
+	drained map[string]bool
 	revoked map[string]int // revoked maps failure domains to the revisions of the revocations that this leader acted on.
 }
 
 func newColdFleet() coldFleet {
-	return coldFleet{sharer: sharer.New(), meter: sharer.NewMeter(), counts: map[string]int{}, quiet: map[string]bool{}, revoked: map[string]int{}}
+	return coldFleet{sharer: sharer.New(), meter: sharer.NewMeter(), counts: map[string]int{}, drained: map[string]bool{}, revoked: map[string]int{}}
 }
 
 // startLeadership forgets what was granted before, since the time for which that counts
@@ -41,7 +42,7 @@
 func (f *coldFleet) startLeadership() {
 	f.sharer = sharer.New(sharer.WithTakeover(now()))
 	f.demand = false
-	f.quiet = map[string]bool{}
+	f.drained = map[string]bool{}
 	f.revoked = map[string]int{}
 }
 
@@ -61,7 +62,7 @@
 // isCold reports whether entries must spare an endpoint. The caller holds mu.
 func (d *Director) isCold(e tracker.Endpoint) bool {
 	rate, _ := d.coldLimits(e.View.Service)
-	return rate > 0 && (e.Cold(now()) || d.fleet.cold.quiet[e.View.FailureDomain])
+	return rate > 0 && (e.Cold(now()) || d.fleet.cold.drained[e.View.FailureDomain])
 }
 
 // withoutUnusedCold removes what an announcement says of its cold time if its service is
@@ -117,7 +118,7 @@
 // updateColdPools tells the sharer which pools have cold endpoints, and logs when their
 // number changes. The caller holds mu.
 func (d *Director) updateColdPools() {
-	d.updateQuietDomains()
+	d.updateDrainedDomains()
 	rates := map[sharer.Pool]float64{}
 	names := map[string][]string{}
 	for _, e := range d.tracker().Endpoints() {
--- a/internal/director/quiet.go
+++ b/internal/director/drained.go
@@ -7,42 +7,43 @@
 )
 
 const (
-	// quietAfter is how long after the begin of an evacuation its endpoints count as cold.
-	// Entries phase their requests out until then; the limit on cold endpoints would cut
-	// the phase-out short.
-	quietAfter = 3 * time.Second
+	// drainedAfter is how long after the start of an evacuation its failure domain counts as
+	// drained, and its endpoints as cold. It is the longest phase-out of an entry at the
+	// default of evacuate-ms (0.6 of 5 s): the limit on cold endpoints would cut a
+	// phase-out short.
+	drainedAfter = 3 * time.Second
 	// revocationMemory is how long a new leader acts on a revocation that it did not see
 	// as the leader: longer than endpoints take to announce themselves.
 	revocationMemory = 5 * time.Second
 )
 
-// updateQuietDomains marks the endpoints of evacuated failure domains as cold, and those of
+// updateDrainedDomains marks the endpoints of evacuated failure domains as cold, and those of
 // failure domains whose evacuation was revoked until they announce that they are warm: they
 // may have become cold while nothing was sent to them. The caller holds mu.
-func (d *Director) updateQuietDomains() {
-	quiet := map[string]bool{}
+func (d *Director) updateDrainedDomains() {
+	drained := map[string]bool{}
 	for domain, change := range d.evacuationChanges {
-		if change.active && now()-change.at >= quietAfter {
-			quiet[domain] = true
+		if change.active && now()-change.at >= drainedAfter {
+			drained[domain] = true
 		}
 	}
-	for domain := range d.fleet.cold.quiet {
-		if !quiet[domain] {
-			d.revokeQuiet(domain)
+	for domain := range d.fleet.cold.drained {
+		if !drained[domain] {
+			d.markMaybeCold(domain)
 		}
 	}
 	for domain, change := range d.evacuationChanges {
 		at, ended := d.evacuationEndedAt(domain)
 		if ended && now()-at < revocationMemory && d.fleet.cold.revoked[domain] < change.revision {
-			d.revokeQuiet(domain)
+			d.markMaybeCold(domain)
 		}
 	}
-	d.fleet.cold.quiet = quiet
+	d.fleet.cold.drained = drained
 }
 
-// revokeQuiet marks the endpoints of a failure domain as cold until they announce that they
+// markMaybeCold marks the endpoints of a failure domain as cold until they announce that they
 // are warm. The caller holds mu.
-func (d *Director) revokeQuiet(domain string) {
+func (d *Director) markMaybeCold(domain string) {
 	d.fleet.cold.revoked[domain] = d.evacuationChanges[domain].revision
 	d.tracker().Update(tracker.MaybeColdMsg{Now: now(), FailureDomain: domain, Default: func(service string) time.Duration {
 		_, coldTime := d.coldLimits(service)
--- a/internal/director/quiet_test.go
+++ b/internal/director/drained_test.go
@@ -31,7 +31,7 @@
 	time.Sleep(3 * planInterval)
 	_, cold := seenCold(leader)
 	assert.Assert(t, !cold, "the limit of cold endpoints cuts the phase-out short")
-	leader.backdate("d0", quietAfter)
+	leader.backdate("d0", drainedAfter)
 	c.waitCold(follower, true)
 	endpoint.announce(c, follower, 0)
 	c.evacuate(leader, "d0", false)
