Director: log the first names of a list in one place

Cause: the lines on cold endpoints and on evacuations cut their lists with the same bound, written twice in the package. No change of behaviour. Result: go test ./internal/director ./internal/gatekeeper ./internal/chooser ./platform passes.

--- a/internal/director/cold.go
+++ b/internal/director/cold.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"papayaseam/internal/messenger"
@@ -14,9 +13,6 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// maxLoggedEndpoints bounds the endpoints that one log line names.
-const maxLoggedEndpoints = 8
-
 var coldGrants = metrics.NewCounter("papayaseam_cold_share_grants_total")
 
 // coldFleet is what this process knows of cold endpoints and of what entries may send
@@ -146,7 +142,7 @@
 		}
 		counts[service] = len(list)
 		setGauge(fmt.Sprintf(`papayaseam_cold_endpoints{service=%q}`, service), float64(len(list)))
-		d.log.Info("cold endpoints", "service", service, "count", len(list), "before", before, "endpoints", strings.Join(list[:min(len(list), maxLoggedEndpoints)], ","))
+		d.log.Info("cold endpoints", "service", service, "count", len(list), "before", before, "endpoints", firstNames(list))
 	}
 }
 
