Soaker, rig, commander: a soak of the real programs under random faults

Cause: kills, stops, resets, lost disks, configurations and client floods were tested one at a time.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -75,7 +75,7 @@
 		Description: "Exit codes: 0 done, 1 failed, 2 wrong use or settings, 3 ticket refused, 4 outcome unknown (repeat the same command).",
 		Commands: withUsageErrors([]*cli.Command{
 			runCommand(stdout), settingsCommand(stdout), ticketCommand(stdout), statusCommand(stdout),
-			instanceCommand(stdout), reportCommand(stdout), explainCommand(os.Stdin, stdout), quickstartCommand(stdout, stderr),
+			instanceCommand(stdout), reportCommand(stdout), explainCommand(os.Stdin, stdout), quickstartCommand(stdout, stderr), soakCommand(stdout, stderr),
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				_, err := fmt.Fprintln(stdout, "papayaseam", Version)
 				return err
