--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -6,13 +6,18 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Observation is an input of a Checker: what a caller, a server or an operator has seen.
 type Observation interface{ observation() }
 
 // ArrivedMsg reports that a server has begun to run a request.
-type ArrivedMsg struct{ Request, Server string }
+type ArrivedMsg struct {
+	Request, Server string
+	Domain          string // Domain is the failure domain of the server.
+	Now             time.Duration
+}
 
 // AnsweredMsg reports the answer to a request, after which no other is expected. Status 0
 // means that there was none.
@@ -68,12 +73,13 @@
 	requests     map[string]*request
 	acknowledged int
 	answered     map[int]int
+	domains      domains
 	violations   []string
 }
 
 // NewChecker returns a checker that has observed nothing.
 func NewChecker() *Checker {
-	return &Checker{requests: map[string]*request{}, answered: map[int]int{}}
+	return &Checker{requests: map[string]*request{}, answered: map[int]int{}, domains: newDomains()}
 }
 
 // Update takes one observation.
@@ -97,6 +103,10 @@
 		if msg.Memory > msg.MemoryBound || msg.Descriptors > msg.DescriptorBound {
 			c.violate("%s holds %d of %d bytes, %d of %d descriptors", msg.Process, msg.Memory, msg.MemoryBound, msg.Descriptors, msg.DescriptorBound)
 		}
+	case EvacuatedMsg:
+		c.domains.evacuation(msg)
+	case ColdMsg:
+		c.domains.cold[msg.Server] = msg
 	case FailedMsg:
 		c.violate("%s", msg.What)
 	}
@@ -112,6 +122,9 @@
 func (c *Checker) arrived(msg ArrivedMsg) {
 	r := c.request(msg.Request)
 	r.runs = append(r.runs, msg.Server)
+	if broken := c.domains.arrived(msg); broken != "" {
+		c.violate("%s at %s %s", msg.Request, msg.Server, broken)
+	}
 	if r.once && len(r.runs) > 1 {
 		c.violate("%s ran at %v, and must run once", msg.Request, r.runs)
 	}
