Director, gatekeeper: two tests of the merged parts

TestNextLeaderActsOnARevocationBeforeIt took the endpoint for warm before the leader had marked it as cold, and waited for an announcement that no longer came; the test of a request sent after the phase-out had no body of the new type. Change: the first waits for the mark, the second has an empty body; their checks are unchanged.

--- a/internal/director/drained_test.go
+++ b/internal/director/drained_test.go
@@ -65,6 +65,7 @@
 			return !cold
 		}
 	}
+	c.waitCold(first, true)
 	c.waitUntil("the endpoint stays cold although it announces that it is warm", warm(first))
 	for _, n := range c.nodes {
 		c.waitCold(n, false)
--- a/internal/gatekeeper/evacuate_test.go
+++ b/internal/gatekeeper/evacuate_test.go
@@ -13,6 +13,7 @@
 	"papayaseam/internal/exposer"
 	"papayaseam/internal/messenger"
 	"papayaseam/internal/timekeeper"
+	"papayaseam/internal/transporter"
 
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
@@ -163,7 +164,7 @@
 	g.dialect = plainDialect{}
 	send := func() verdict {
 		r := httptest.NewRequest(http.MethodPost, "/orders/1", http.NoBody)
-		e := &exchange{r: r, startedAt: now, deadline: now + time.Minute, chosenAt: now}
+		e := &exchange{r: r, body: &transporter.Body{}, startedAt: now, deadline: now + time.Minute, chosenAt: now}
 		response, _, v, err := g.dispatch(t.Context(), e, chooser.Target{ID: "a", BootTime: 1, Address: server.Listener.Addr().String()})
 		if err == nil {
 			assert.NilError(t, response.Body.Close())
