Declarer, configurer: a placeholder that was not filled in leaves the default

Change: such a value, and an empty max-descriptors, count as not set; a needed key still fails with its remedy; the process logs the keys at its start. Ruled out: leaving the keys out of the templates, since other deployments declare other bounds.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -37,7 +37,8 @@
 
 // Settings are the checked settings of one process.
 type Settings struct {
-	File          string // File is where the settings were read; empty for settings from memory.
+	Placeholders  []string // Placeholders are the keys that a template left unfilled, and which have their defaults.
+	File          string   // File is where the settings were read; empty for settings from memory.
 	Roles         []Role
 	Name          string
 	Region        string
@@ -128,10 +129,16 @@
 	return read(f)
 }
 
+// isPlaceholder reports whether a value is a placeholder of a template that was not filled
+// in, since whoever rendered it does not know the field. The key then has its default.
+func isPlaceholder(value string) bool { return strings.Contains(value, "{{") }
+
 func read(f *declarer.File) (Settings, error) {
 	r := reader{f}
+	placeholders := f.Drop(isPlaceholder)
 	s := Settings{
-		Name: f.Needed("process", "name"), Region: f.Needed("process", "region"),
+		Placeholders: placeholders,
+		Name:         f.Needed("process", "name"), Region: f.Needed("process", "region"),
 		FailureDomain: f.Needed("process", "failure-domain"), FabricDomain: f.Text("process", "fabric-domain", ""),
 		StopAfter: r.duration("process", "stop-after-ms", 90*time.Second),
 		LogLevel:  f.Text("process", "log-level", "info"),
--- a/internal/configurer/direct_test.go
+++ b/internal/configurer/direct_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"papayaseam/internal/limiter"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -42,3 +44,20 @@
 		assert.ErrorContains(t, err, mistake)
 	}
 }
+
+// TestPlaceholdersLeaveTheDefaults guards against a process that does not start since its
+// template names fields that the renderer does not know.
+func TestPlaceholdersLeaveTheDefaults(t *testing.T) {
+	s, err := Parse("control.ini", []byte(controlSettings+"failure-domains = {{#zones}}{{@}}{{,}}{{/zones}}\nevacuate-ms = {{bounds.evacuate_ms}}\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.Direct.FailureDomains), 0)
+	assert.Equal(t, s.Direct.EvacuateWithin, 5*time.Second)
+	assert.DeepEqual(t, s.Placeholders, []string{"[direct] failure-domains", "[direct] evacuate-ms"})
+	for _, value := range []string{"", " {{limits.max_fds}}"} {
+		s, err = Parse("control.ini", []byte(strings.Replace(controlSettings, "[direct]", "max-descriptors ="+value+"\n[direct]", 1)))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Limits.MaxDescriptors, limiter.NewBounds().MaxDescriptors)
+	}
+	_, err = Parse("control.ini", []byte(strings.Replace(controlSettings, "ip = 127.0.0.1", "ip = {{ip}}", 1)))
+	assert.ErrorContains(t, err, "ip")
+}
--- a/internal/configurer/limits.go
+++ b/internal/configurer/limits.go
@@ -19,7 +19,10 @@
 		memory = "direct"
 	}
 	b.MemoryMB = r.Int(memory, "memory-mb", b.MemoryMB, minMemoryMB, maxKeepMB)
-	b.MaxDescriptors = r.Int(section, "max-descriptors", b.MaxDescriptors, minDescriptors, maxDescriptors)
+	// A template leaves the key empty where the deployment declares no limit.
+	if r.Text(section, "max-descriptors", "") != "" {
+		b.MaxDescriptors = r.Int(section, "max-descriptors", b.MaxDescriptors, minDescriptors, maxDescriptors)
+	}
 	b.PerAddress = r.Int(section, "max-connections-per-address", b.PerAddress, 0, maxDescriptors)
 	b.HeadTime = r.duration(section, "head-timeout-ms", b.HeadTime)
 	b.IdleTime = r.duration(section, "idle-timeout-ms", b.IdleTime)
--- a/internal/declarer/declarer.go
+++ b/internal/declarer/declarer.go
@@ -134,6 +134,21 @@
 	f.problems = append(f.problems, Problem{f.name, f.Line(section, key), fmt.Sprintf(format, args...)})
 }
 
+// Drop removes the keys whose values match, as if they were not set, and returns their
+// names as [section] key in the order of the file.
+func (f *File) Drop(matches func(value string) bool) []string {
+	var dropped []string
+	for _, section := range f.Sections() {
+		for _, key := range f.ini.Section(section).Keys() {
+			if matches(key.String()) {
+				f.ini.Section(section).DeleteKey(key.Name())
+				dropped = append(dropped, "["+section+"] "+key.Name())
+			}
+		}
+	}
+	return dropped
+}
+
 // Text returns a key's value, or the fallback where it is not set.
 func (f *File) Text(section, key, fallback string) string {
 	f.used[section+"\x00"+key] = true
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -84,6 +84,9 @@
 	if settings.IsDirect() {
 		p.actor(ctx, p.watchSettings)
 	}
+	if len(settings.Placeholders) > 0 {
+		p.log.Warn("settings were not filled in and have their defaults", "keys", settings.Placeholders)
+	}
 	p.log.Info("process started", "roles", settings.Roles, "listen", settings.Listen)
 	err = p.group.Run()
 	p.log.Info("process ended", "err", err)
