--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -100,9 +100,9 @@
 	if lowestBefore == 0 {
 		maxCount = neediest.GroupSize
 	}
-	for _, g := range p.byCopies(groups, domain, neediest) {
+	for _, g := range groups {
 		model, ok := p.msg.Engine.Model(g.Model)
-		if !ok || !p.isPreemptible(g, neediest) || len(victims) == maxCount {
+		if !ok || g.FabricDomain != domain || !p.isPreemptible(g, neediest) || len(victims) == maxCount {
 			continue
 		}
 		victims = append(victims, g)
@@ -132,21 +132,6 @@
 	return victims
 }
 
-// byCopies returns the groups of a domain whose members hold copies of a model, those with
-// most copies first and otherwise in the given order. The members of others would not
-// complete a group of the model, and would lose their own copies for nothing.
-func (p *Placer) byCopies(groups []*Group, domain string, model describer.Model) []*Group {
-	copies := map[*Group]int{}
-	for _, g := range groups {
-		if g.FabricDomain == domain {
-			copies[g] = p.countWarmMembers(g, model)
-		}
-	}
-	useful := slices.DeleteFunc(slices.Clone(groups), func(g *Group) bool { return copies[g] == 0 })
-	slices.SortStableFunc(useful, func(a, b *Group) int { return cmp.Compare(copies[b], copies[a]) })
-	return useful
-}
-
 // leastBusyGroups returns all groups ordered by active requests, the fewest first,
 // because those drain soonest.
 func (p *Placer) leastBusyGroups() []*Group {
