--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 9 into target/.
+# Builds the stand-ins of the cases 6 to 10 into target/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
