--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -15,6 +15,7 @@
 }{
 	"deadly-stream": {[]string{"a", "b", "c"}, deadlyStream},
 	"stepped-clock": {[]string{"a", "b", "c"}, steppedClock},
+	"slow-body":     {[]string{"a", "b", "c"}, slowBody},
 	"late-end":      {[]string{"a", "b", "c"}, lateEnd},
 	"thawed-entry":  {[]string{"a", "b", "c"}, thawedEntry},
 	"foreign-head":  {[]string{"a", "b", "c"}, foreignHead},
