--- a/review/driver-3/ghost.go
+++ b/review/driver-3/ghost.go
@@ -22,9 +22,8 @@
 	readFor = 15 * time.Second
 	// darkFor is how long a lost machine is silent before its address refuses connections.
 	darkFor = 2 * time.Second
-	// No attempt and no loss begins later than these.
-	lastAttempt = 75 * time.Second
-	lastLoss    = 95 * time.Second
+	// lastLoss is when the last loss may begin.
+	lastLoss = 90 * time.Second
 )
 
 const manifestGhost = `{"version":%d,"routes":[{"name":"r0","host":"a.example","path_prefix":"/look/","kind":"safe","timeout_ms":1200,"target_latency_ms":150,"priority":2,"service":"desk","max_attempts":2,"public":true}],` +
@@ -68,34 +67,57 @@
 	}
 }
 
-// playGhost plays a new control machine that joins while the leader is frozen and is taken away
-// again as planned. Later the leader's machine is lost for good and replaced.
+// playGhost plays a planned replacement of a control machine while the leader is frozen: the new
+// machine joins meanwhile. It is replaced as planned itself later. Then the leader's machine is
+// lost for good and replaced.
 func playGhost(p *play) error {
+	sys, err := startControls(p)
+	if err != nil {
+		return err
+	}
+	first, err := sys.awaitLeader(sys.members...)
+	if err != nil {
+		return err
+	}
+	p.note("control-%d leads", first)
+	if p.trouble {
+		sys.signal(fmt.Sprint("control-", first), syscall.SIGSTOP)
+	}
+	time.Sleep(addAfter)
+	added, err := sys.addControl()
+	if err != nil {
+		return err
+	}
+	time.Sleep(freezeFor - addAfter)
+	if p.trouble {
+		sys.signal(fmt.Sprint("control-", first), syscall.SIGCONT)
+	}
+	if err := sys.finishReplacement(added, first); err != nil {
+		return err
+	}
+	second, err := sys.addControl()
+	if err != nil {
+		return err
+	}
+	if err := sys.replaceBy(added, second); err != nil {
+		return err
+	}
+	return sys.replaceLeaders(first)
+}
+
+// startControls starts three control processes and has a manifest acknowledged.
+func startControls(p *play) (*system, error) {
 	sys := &system{play: p, controls: voters, members: []int{0, 1, 2}}
 	if err := sys.start(); err != nil {
-		return err
+		return nil, err
 	}
 	manifest := fmt.Sprintf(manifestGhost, 7)
-	if err := await("control answers", patience, func() bool {
+	err := await("control answers", patience, func() bool {
 		status, _, err := call(http.MethodPost, "http://"+controlAddress(0)+"/Config.Put", "", manifest, nil, operatorTime)
 		return err == nil && status < 300
-	}); err != nil {
-		return err
-	}
-	p.note("operator: manifest 7 is acknowledged")
-	for p.elapsed() < lastAttempt {
-		first, err := sys.joinAndLeave()
-		if err != nil {
-			return err
-		}
-		if err := sys.replaceLeaders(first); err != nil {
-			return err
-		}
-		if !p.trouble {
-			return nil
-		}
-	}
-	return nil
+	})
+	p.note("operator: manifest 7 is acknowledged: %v", err == nil)
+	return sys, err
 }
 
 // addControl starts a control process on a new machine with an empty disk.
@@ -105,35 +127,42 @@
 	return machine, s.startControl(machine, false)
 }
 
-// joinAndLeave adds a machine to control while the leader is frozen, and takes it away again. It
-// returns the leader.
-func (s *system) joinAndLeave() (first int, err error) {
-	if first, err = s.awaitLeader(s.members...); err != nil {
-		return first, err
-	}
-	s.note("control-%d leads", first)
-	if s.trouble {
-		s.signal(fmt.Sprint("control-", first), syscall.SIGSTOP)
+// finishReplacement stops a machine that an added one replaces: neither the leader nor the one
+// that was frozen.
+func (s *system) finishReplacement(added, frozen int) error {
+	if err := s.awaitAll(append([]int{added}, s.members...)); err != nil {
+		return err
 	}
-	time.Sleep(addAfter)
-	machine, err := s.addControl()
+	leader, err := s.awaitLeader(s.members...)
 	if err != nil {
-		return first, err
+		return err
 	}
-	time.Sleep(freezeFor - addAfter)
-	if s.trouble {
-		s.signal(fmt.Sprint("control-", first), syscall.SIGCONT)
+	i := slices.IndexFunc(s.members, func(i int) bool { return i != leader && i != frozen })
+	return s.replaceBy(s.members[i], added)
+}
+
+// replaceBy stops a machine as planned, once the new one has had its time.
+func (s *system) replaceBy(old, added int) error {
+	if err := s.awaitAll(append([]int{added}, s.members...)); err != nil {
+		return err
 	}
-	for _, i := range append([]int{machine}, s.members...) {
+	time.Sleep(catchUp)
+	s.endProcess(fmt.Sprint("control-", old), syscall.SIGTERM)
+	s.note("the machine of control-%d is removed as planned, control-%d takes its place", old, added)
+	s.members = append(slices.DeleteFunc(s.members, func(i int) bool { return i == old }), added)
+	time.Sleep(catchUp)
+	return nil
+}
+
+// awaitAll waits until control processes return the manifest.
+func (s *system) awaitAll(machines []int) error {
+	for _, i := range machines {
 		if err := await(fmt.Sprintf("control-%d returns the manifest", i), patience, func() bool { return s.reads(i) }); err != nil {
-			return first, err
+			return err
 		}
 	}
-	s.note("all four control processes return the manifest")
-	time.Sleep(catchUp)
-	s.endProcess(fmt.Sprint("control-", machine), syscall.SIGTERM)
-	time.Sleep(catchUp)
-	return first, nil
+	s.note("operator: control processes %v return the manifest", machines)
+	return nil
 }
 
 // replaceLeaders takes the machine of the leader away for good and adds an empty one, until
@@ -145,8 +174,7 @@
 			return err
 		}
 		if leader == frozen && s.trouble {
-			s.note("control-%d leads", leader)
-			return nil
+			return fmt.Errorf("control-%d leads without a loss", leader)
 		}
 		// A machine without power is silent: its process stands still before it is killed.
 		s.signal(fmt.Sprint("control-", leader), syscall.SIGSTOP)
@@ -163,6 +191,9 @@
 			return err
 		}
 		time.Sleep(catchUp)
+		if leader := s.leader(s.members...); leader == frozen && s.trouble {
+			return fmt.Errorf("control-%d leads, and the manifest comes back", leader)
+		}
 	}
 	return nil
 }
--- a/review/driver-3/main.go
+++ b/review/driver-3/main.go
@@ -68,7 +68,7 @@
 const longest = 117 * time.Second
 
 func main() {
-	name := flag.String("case", "", "two, evac or ghost")
+	name := flag.String("case", "", "two, evac, ghost or flap")
 	binary := flag.String("binary", "target/papayaseam", "the program of the deploy file")
 	record := flag.String("record", "record.txt", "where the record is written")
 	folder := flag.String("folder", "", "a temporary folder")
@@ -87,7 +87,7 @@
 		recorder: &recorder{file: file, started: time.Now()},
 		binary:   binary, folder: folder, trouble: os.Getenv("TROUBLE") != "0",
 	}
-	cases := map[string]func(*play) error{"two": playTwo, "evac": playEvac, "ghost": playGhost}
+	cases := map[string]func(*play) error{"two": playTwo, "evac": playEvac, "ghost": playGhost, "flap": playFlap}
 	c := cases[name]
 	if c == nil {
 		fmt.Fprintln(os.Stderr, "no such case:", name)
