--- a/review/driver-3/flap.go
+++ b/review/driver-3/flap.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -14,9 +13,10 @@
 const (
 	// ledFor is how long the leader has led before the machine is added.
 	ledFor = 5 * time.Second
+	// lastTry is when the last machine may be added.
+	lastTry = 75 * time.Second
 	// joinTick is after which time a new process asks to join, and joinSlack what that takes.
 	joinTick, joinSlack = 200 * time.Millisecond, 10 * time.Millisecond
-	flapTries           = 4
 )
 
 // playFlap plays a new control machine that is lost for good right after it has asked to join,
@@ -27,20 +27,26 @@
 		return err
 	}
 	time.Sleep(ledFor)
-	for range flapTries {
+	for {
 		added, votes, err := sys.addAndLose()
 		if err != nil {
 			return err
 		}
-		if votes && p.trouble {
-			// The lost machine was not met in time. Its successor is taken away as planned.
-			sys.endProcess(fmt.Sprint("control-", added), syscall.SIGTERM)
-			time.Sleep(catchUp)
-			continue
+		if !votes || !p.trouble {
+			if err := sys.loseFollower(added); err != nil || !p.trouble {
+				return err
+			}
 		}
-		return sys.loseFollower(added)
+		if p.elapsed() > lastTry {
+			return nil
+		}
+		// The lost machine had been heard already. Its successor is taken away as planned.
+		p.note("once more")
+		time.Sleep(catchUp)
+		sys.endProcess(fmt.Sprint("control-", added), syscall.SIGTERM)
+		sys.members = slices.DeleteFunc(sys.members, func(i int) bool { return i == added })
+		time.Sleep(catchUp)
 	}
-	return errors.New("the machine was never lost in time")
 }
 
 // addAndLose adds a machine, which is lost as soon as it has asked to join, and adds its
@@ -93,5 +99,9 @@
 		return err
 	}
 	s.members = append(s.members, machine)
+	if err := s.readBack(); err != nil {
+		return err
+	}
+	time.Sleep(catchUp)
 	return s.readBack()
 }
