--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -9,7 +9,7 @@
 	"syscall"
 )
 
-// cases are those of the folders 6 to 10, and three that REPORT-2.md tells of without a folder.
+// cases are those of the folders 8 and 10, and six that REPORT-2.md tells of without a folder.
 var cases = map[string]func(l *lab) (broken bool, err error){
 	"deadly-stream":    deadlyStream,
 	"stepped-clock":    steppedClock,
--- a/review/driver-3/ghost.go
+++ b/review/driver-3/ghost.go
@@ -36,7 +36,7 @@
 // leader returns the control process that leads by its own metrics, or -1.
 func (s *system) leader(machines ...int) int {
 	for _, i := range machines {
-		status, text, err := call(http.MethodGet, "http://"+net.JoinHostPort(ip(i), metricsPort)+"/metrics", "", "", nil, 300*time.Millisecond)
+		status, text, err := call(http.MethodGet, "http://"+net.JoinHostPort(ip(i), metricsPort)+"/metrics", "", 300*time.Millisecond)
 		if err == nil && status == http.StatusOK && strings.Contains(text, "\npapayaseam_control_leads 1") {
 			return i
 		}
@@ -54,7 +54,7 @@
 
 // reads reports whether a control process returns the manifest.
 func (s *system) reads(i int) bool {
-	status, text, err := call(http.MethodGet, "http://"+controlAddress(i)+"/Config.Get", "", "", nil, operatorTime)
+	status, text, err := call(http.MethodGet, "http://"+controlAddress(i)+"/Config.Get", "", operatorTime)
 	return err == nil && status == http.StatusOK && strings.Contains(text, `"version"`)
 }
 
@@ -131,7 +131,7 @@
 	}
 	manifest := fmt.Sprintf(manifestGhost, 7)
 	err := await("control answers", patience, func() bool {
-		status, _, err := call(http.MethodPost, "http://"+controlAddress(0)+"/Config.Put", "", manifest, nil, operatorTime)
+		status, _, err := call(http.MethodPost, "http://"+controlAddress(0)+"/Config.Put", manifest, operatorTime)
 		return err == nil && status < 300
 	})
 	p.note("operator: manifest 7 is acknowledged: %v", err == nil)
@@ -231,7 +231,7 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	for _, i := range s.members {
-		status, text, err := call(http.MethodGet, "http://"+controlAddress(i)+"/Config.Get", "", "", nil, operatorTime)
+		status, text, err := call(http.MethodGet, "http://"+controlAddress(i)+"/Config.Get", "", operatorTime)
 		s.note("operator: GET /Config.Get at control-%d: %d %q %v", i, status, text, err)
 	}
 	return fmt.Errorf("%w: CONFIG: the acknowledged manifest does not come for %v after one machine of three was lost and replaced", errBroken, readFor)
--- a/review/driver-3/main.go
+++ b/review/driver-3/main.go
@@ -1,8 +1,8 @@
-// Command driver-3 plays the cases of the review that are scripts. It starts the project's
-// own programs as separate processes on loopback addresses, with stand-ins of its own for
-// servers, requesters and the operator, and writes a record of what was sent, answered and run.
+// Command driver-3 plays three cases of the second review. It starts the project's own programs
+// as separate processes on loopback addresses, with stand-ins of its own for servers and the
+// operator, and writes a record of what was sent, answered and run.
 //
-//	driver-3 -case two -binary target/papayaseam -record record.txt -folder TEMPORARY
+//	review-driver-3 -case two -binary target/papayaseam -record record.txt -folder TEMPORARY
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 package main
@@ -68,7 +68,7 @@
 const longest = 117 * time.Second
 
 func main() {
-	name := flag.String("case", "", "two, evac, ghost or flap")
+	name := flag.String("case", "", "two, ghost or flap")
 	binary := flag.String("binary", "target/papayaseam", "the program of the deploy file")
 	record := flag.String("record", "record.txt", "where the record is written")
 	folder := flag.String("folder", "", "a temporary folder")
@@ -87,7 +87,7 @@
 		recorder: &recorder{file: file, started: time.Now()},
 		binary:   binary, folder: folder, trouble: os.Getenv("TROUBLE") != "0",
 	}
-	cases := map[string]func(*play) error{"two": playTwo, "evac": playEvac, "ghost": playGhost, "flap": playFlap}
+	cases := map[string]func(*play) error{"two": playTwo, "ghost": playGhost, "flap": playFlap}
 	c := cases[name]
 	if c == nil {
 		fmt.Fprintln(os.Stderr, "no such case:", name)
--- a/review/driver-3/server.go
+++ b/review/driver-3/server.go
@@ -64,7 +64,6 @@
 	changes    int // changes counts what ends a timer that runs.
 	stalledAt  time.Time
 	cutUntil   time.Time // cutUntil is when control reaches the server again.
-	late       bool      // late means that the next order to open is carried out late and not answered.
 }
 
 // fleet is all servers, and what the rule's check has found.
@@ -374,7 +373,7 @@
 	s.mu.Unlock()
 	body, _ := json.Marshal(out)
 	for i := range 3 {
-		status, _, err := call(http.MethodPost, "http://"+controlAddress(i)+"/Instances.Heartbeat/"+s.id, "", string(body), nil, time.Second)
+		status, _, err := call(http.MethodPost, "http://"+controlAddress(i)+"/Instances.Heartbeat/"+s.id, string(body), time.Second)
 		if err == nil && status < 300 {
 			return
 		}
--- a/review/driver-3/two.go
+++ b/review/driver-3/two.go
@@ -52,7 +52,7 @@
 		return late
 	}
 	if err := await("control answers", patience, func() bool {
-		status, _, err := call(http.MethodPost, "http://"+controlAddress(0)+"/Config.Put", "", manifestTwo, nil, operatorTime)
+		status, _, err := call(http.MethodPost, "http://"+controlAddress(0)+"/Config.Put", manifestTwo, operatorTime)
 		return err == nil && status < 300
 	}); err != nil {
 		return err
