--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/papayaseam ] && [ -x target/review-driver-2 ] || { echo "build first: the build line of deploy/system.toml, then review/build-2.sh"; exit 2; }
-exec target/review-driver-2 deadly-stream review/8/record.txt
+exec target/review-driver-2 removed-leader review/8/record.txt
