Join requests end with the leadership in which they were read

Cause: a leader that wakes from a freeze reads the join requests in its sockets before it learns that another process leads. They stayed in its list until it led again, and the first change of that leadership added a replica whose disk was long gone: four voters, two of them running.

Evidence: 'membership change proposed add=' of the process that was frozen names the replica of before. Ruled out: a replaced voter that was not removed, a split vote. New line 'join request accepted' with the term and the age of the last confirmation.

Change: enroller.Applicants holds the requests; the begin and the end of a leadership clear it. The model of the timeline delivers join requests to frozen processes late, as sockets do.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -179,7 +179,7 @@
 	voters      []string
 	lastLeader  string // lastLeader is the last known leader other than this process.
 	attendance  *enroller.Attendance
-	joiners     []string
+	applicants  *enroller.Applicants
 	stopping    bool          // stopping is set once a planned stop has begun.
 	confirmedAt time.Duration // confirmedAt is the start of the last round in which a quorum confirmed this leader.
 	lastRoundAt time.Duration // lastRoundAt is the start of the last confirmed round, through whichever leader.
@@ -201,7 +201,7 @@
 		cfg: cfg, log: logger, endpoints: endpoints,
 		inbox: make(chan any, inboxCapacity), peerQueues: map[string]chan messenger.ReplicaMessage{}, exited: make(chan string, exitedCapacity), orderSlots: make(chan struct{}, maxConcurrentOrders), planTrigger: make(chan struct{}, 1), pollTrigger: make(chan struct{}, 1),
 		proposals: map[uint64]chan result{}, reads: map[uint64][]chan result{}, waiters: map[int]waiter{},
-		seeds: cfg.Seeds, attendance: enroller.NewAttendance(), lostConns: make(chan string, lostConnCapacity), voteTrigger: make(chan struct{}, 1), state: cataloguer.New(), fleet: newFleet(), collector: newCollector(), holdTimer: quarantiner.NewTimer(),
+		seeds: cfg.Seeds, attendance: enroller.NewAttendance(), applicants: enroller.NewApplicants(), lostConns: make(chan string, lostConnCapacity), voteTrigger: make(chan struct{}, 1), state: cataloguer.New(), fleet: newFleet(), collector: newCollector(), holdTimer: quarantiner.NewTimer(),
 		crashedBoots: map[string]*crashedBoot{}, evacuationChanges: map[string]evacuationChange{},
 	}
 	d.client = transporter.NewClient(transporter.WithDialTimeout(dialTimeout), transporter.WithLost(d.noteLostConn))
--- a/internal/director/enrol.go
+++ b/internal/director/enrol.go
@@ -12,13 +12,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-const (
-	// joinAfterLeaderless is how long a process waits without a leader before it
-	// asks to join; longer than an election takes.
-	joinAfterLeaderless = 1500 * time.Millisecond
-	// maxJoiners bounds the pending join requests.
-	maxJoiners = 16
-)
+// joinAfterLeaderless is how long a process waits without a leader before it
+// asks to join; longer than an election takes.
+const joinAfterLeaderless = 1500 * time.Millisecond
 
 // maintainMembership asks to join the control group if this process has had no
 // leader for a while and, on the leader, makes the next membership change.
@@ -68,8 +64,8 @@
 	if !d.attendance.MayJoin(now(), request.Replica, d.otherVoters(), d.minVoters()) {
 		return answer
 	}
-	if !answer.Accepted && !slices.Contains(d.joiners, request.Replica) && len(d.joiners) < maxJoiners {
-		d.joiners = append(d.joiners, request.Replica)
+	if !answer.Accepted && d.applicants.Update(enroller.JoinRequestedMsg{Replica: request.Replica}) {
+		d.log.Info("join request accepted", "replica", request.Replica, "term", d.term, "confirmed-ms", (now() - d.confirmedAt).Milliseconds())
 	}
 	return answer
 }
@@ -80,7 +76,7 @@
 	change, due := enroller.NextChange(view)
 	if !due {
 		d.mu.Lock()
-		d.joiners = nil
+		d.applicants.Update(enroller.NoChangeDueMsg{})
 		d.mu.Unlock()
 		return
 	}
@@ -103,7 +99,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	view := enroller.View{
-		Self: d.identity, Voters: slices.Clone(d.voters), Joiners: slices.Clone(d.joiners),
+		Self: d.identity, Voters: slices.Clone(d.voters), Joiners: d.applicants.Replicas(),
 		Unresponsive: map[string]bool{}, Refused: map[string]bool{}, MinVoters: d.minVoters(),
 	}
 	spare := len(view.Voters) > view.MinVoters
--- a/internal/director/gone_test.go
+++ b/internal/director/gone_test.go
@@ -21,6 +21,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = d.journal.Close() })
 	d.identity, d.leading, d.leader = "a@1", true, "a@1"
+	d.applicants.Update(enroller.LeadershipMsg{Leading: true})
 	d.voters = []string{"a@1", "b@2", "c@3", "d@4"}
 	d.attendance.Update(enroller.LeadMsg{Now: now()})
 	for _, voter := range d.voters {
@@ -64,13 +65,13 @@
 	d := newSpareLeader(t)
 	d.attendance.Update(enroller.GivenUpMsg{Now: now(), Replica: "e@5"})
 	d.handleJoin(t.Context(), messenger.JoinRequest{Replica: "e@5"})
-	assert.Equal(t, len(d.joiners), 0)
+	assert.Equal(t, len(d.applicants.Replicas()), 0)
 	d.handleJoin(t.Context(), messenger.JoinRequest{Replica: "f@6"})
-	assert.DeepEqual(t, d.joiners, []string{"f@6"})
+	assert.DeepEqual(t, d.applicants.Replicas(), []string{"f@6"})
 	d.attendance.Update(enroller.RefusedMsg{Replica: "c@3"})
 	d.attendance.Update(enroller.RefusedMsg{Replica: "d@4"})
 	d.handleJoin(t.Context(), messenger.JoinRequest{Replica: "e@5"})
-	assert.DeepEqual(t, d.joiners, []string{"f@6", "e@5"})
+	assert.DeepEqual(t, d.applicants.Replicas(), []string{"f@6", "e@5"})
 }
 
 // TestClosedConnectionOfAnEndedVoterIsNoticed guards against an end that is known only when
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -336,6 +336,12 @@
 	if d.leader != "" && !d.leading {
 		d.lastLeader = d.leader
 	}
+	if d.leading != wasLeading {
+		if pending := d.applicants.Replicas(); len(pending) > 0 {
+			d.log.Info("join requests forgotten with the leadership", "replicas", firstNames(pending), "term", effect.Term)
+		}
+		d.applicants.Update(enroller.LeadershipMsg{Leading: d.leading})
+	}
 	if d.leading && !wasLeading {
 		d.leaderSince = now()
 		d.attendance.Update(enroller.LeadMsg{Now: now(), Former: d.lastLeader})
--- a/internal/enroller/timeline_test.go
+++ b/internal/enroller/timeline_test.go
@@ -52,7 +52,7 @@
 	attendance *Attendance
 	lastLeader string
 	leaderAt   time.Duration
-	joiners    []string
+	applicants *Applicants
 	down       bool
 	// silent makes the address of a process that is down swallow connections, as that of a
 	// machine without power; otherwise it refuses them.
@@ -97,7 +97,7 @@
 // start starts a process from its disk.
 func (l *timeline) start(p *process) {
 	p.life++
-	p.down, p.frozen, p.attendance, p.joiners, p.leaderAt = false, false, NewAttendance(), nil, l.now
+	p.down, p.frozen, p.attendance, p.applicants, p.leaderAt = false, false, NewAttendance(), NewApplicants(), l.now
 	p.machine = replicator.New(p.id, p.disk, replicator.WithSeed(l.rng.Uint64()))
 	l.every(p, tickInterval, func() { l.step(p, replicator.TickMsg{}) })
 	l.every(p, digestInterval, func() { l.sendDigest(p) })
@@ -187,6 +187,7 @@
 				l.after(0, func() { l.changeVoters(p) })
 			}
 		case replicator.LeaderChangedEffect:
+			p.applicants.Update(LeadershipMsg{Leading: effect.Role == replicator.Leader})
 			if effect.Role == replicator.Leader {
 				p.attendance.Update(LeadMsg{Now: l.now, Former: p.lastLeader})
 			} else if effect.Leader != "" {
@@ -230,20 +231,19 @@
 	}
 }
 
-// requestJoin asks the leader for a vote once there has been no leader for a while.
+// requestJoin asks the leader for a vote once there has been no leader for a while. The
+// request waits in the socket of a frozen process until it goes on.
 func (l *timeline) requestJoin(p *process) {
 	if l.now-p.leaderAt < joinAfterSilence {
 		return
 	}
 	for _, id := range l.others(p.id) {
-		leader := l.processes[id]
-		if leader.frozen || leader.machine.Role() != replicator.Leader {
-			continue
-		}
-		voters := leader.machine.Voters()
-		if !slices.Contains(voters, p.id) && !slices.Contains(leader.joiners, p.id) && leader.attendance.MayJoin(l.now, p.id, leader.otherVoters(), modelledMinimum) {
-			leader.joiners = append(leader.joiners, p.id)
-		}
+		l.call(p, id, func(leader *process) {
+			voters := leader.machine.Voters()
+			if !slices.Contains(voters, p.id) && leader.attendance.MayJoin(l.now, p.id, leader.otherVoters(), modelledMinimum) {
+				leader.applicants.Update(JoinRequestedMsg{Replica: p.id})
+			}
+		})
 	}
 }
 
@@ -253,14 +253,14 @@
 		return
 	}
 	voters := slices.Clone(p.machine.Voters())
-	view := View{Self: p.id, Voters: voters, Joiners: p.joiners, Unresponsive: map[string]bool{}, Refused: map[string]bool{}, MinVoters: modelledMinimum}
+	view := View{Self: p.id, Voters: voters, Joiners: p.applicants.Replicas(), Unresponsive: map[string]bool{}, Refused: map[string]bool{}, MinVoters: modelledMinimum}
 	for _, voter := range voters {
 		view.Unresponsive[voter] = p.attendance.Gone(l.now, voter, len(voters) > modelledMinimum)
 		view.Refused[voter] = p.attendance.Refused(voter)
 	}
 	change, due := NextChange(view)
 	if !due {
-		p.joiners = nil
+		p.applicants.Update(NoChangeDueMsg{})
 		return
 	}
 	before := p.machine.LogLength()
