Voters campaign in turn after a leader has fallen silent

What callers see: while one of four control voters is silent for good, the three others must all vote for the same candidate. With random timeouts two of them campaigned at the same time now and then, and the configuration could not be read for another election timeout or more.

Cause: only a leader whose address refuses connections was replaced by voters that campaign in turn; after a silent one each drew a timeout of 10 to 19 ticks.

Change: the turns hold for both, an election timeout and a heartbeat after the last message. The newest voter is first: a replacement removes the older machines, and each of them that leads costs an election and the time in which the next leader settles.

--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"papayaseam/internal/messenger"
 )
@@ -169,22 +170,28 @@
 	return m.leader != "" && (m.role == Leader || !m.leaderSuspected && m.elapsedTicks < m.options.electionTicks)
 }
 
-// suspectLeader shortens the wait for the leader to one missed heartbeat. The voters
-// campaign one after another, in the order of the list that all of them share: where all
-// that are left must vote for the same one, two candidates would elect none.
-func (m *Machine) suspectLeader(msg LeaderSuspectedMsg) {
-	if m.role != Follower || m.leader == "" || m.leader != msg.Leader {
-		return
-	}
-	m.leaderSuspected = true
+// turnTicks returns when it is this voter's turn to campaign after the leader was lost. The
+// voters campaign one after another, in the order of the list that all of them share: where
+// all that are left must vote for the same one, two candidates would elect none. The newest
+// voter is first, since a replacement removes the older ones, each with an election if it leads.
+func (m *Machine) turnTicks() int {
 	rank := 0
-	for _, id := range m.Voters() {
+	for _, id := range slices.Backward(m.Voters()) {
 		if id == m.id {
 			break
 		}
 		rank += btoi(id != m.leader)
 	}
-	m.electionTimeoutTicks = min(m.electionTimeoutTicks, m.options.heartbeatTicks+suspicionStaggerTicks*rank)
+	return suspicionStaggerTicks * rank
+}
+
+// suspectLeader shortens the wait for the leader to one missed heartbeat.
+func (m *Machine) suspectLeader(msg LeaderSuspectedMsg) {
+	if m.role != Follower || m.leader == "" || m.leader != msg.Leader {
+		return
+	}
+	m.leaderSuspected = true
+	m.electionTimeoutTicks = min(m.electionTimeoutTicks, m.options.heartbeatTicks+m.turnTicks())
 }
 
 // handleVoteRequest grants a vote or pre-vote if the candidate's log is at least as
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -260,6 +260,10 @@
 	}
 	m.elapsedTicks = 0
 	m.electionTimeoutTicks = minTicks + m.rng.IntN(jitterTicks)
+	if m.role == Follower && m.leader != "" {
+		// The other voters heard the last heartbeat an interval later at most.
+		m.electionTimeoutTicks = m.options.electionTicks + m.options.heartbeatTicks + m.turnTicks()
+	}
 }
 
 func (m *Machine) saveVoteState() {
--- a/internal/replicator/suspect_test.go
+++ b/internal/replicator/suspect_test.go
@@ -39,6 +39,38 @@
 	})
 }
 
+// silentTicks is the time from the loss of a leader to one that has committed an entry: an
+// election timeout after the last heartbeat, and the turns of the other voters.
+const silentTicks = defaultElectionTicks + defaultHeartbeatTicks + 3*suspicionStaggerTicks
+
+// TestSilentLeaderIsReplacedWithoutSplitVotes guards against voters that campaign at the same
+// time after their leader has lost its power, and then wait for another election timeout: while
+// one of four voters is silent, all others must vote for the same one.
+func TestSilentLeaderIsReplacedWithoutSplitVotes(t *testing.T) {
+	for seed := range uint64(200) {
+		c := newCluster(t, 4, seed)
+		c.runTicks(60)
+		former := c.leader()
+		c.isolated[former] = true
+		c.runTicks(silentTicks)
+		assert.Assert(t, c.leader() != "", "seed %d: no leader after %d ticks", seed, silentTicks)
+	}
+}
+
+// TestNewestVoterLeadsNext guards against a replacement of all control machines, one after the
+// other, in which each next one that is stopped has just become the leader.
+func TestNewestVoterLeadsNext(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, 4, seed)
+		c.runTicks(60)
+		former := c.leader()
+		c.isolated[former] = true
+		c.runTicks(silentTicks)
+		others := slices.DeleteFunc(c.ids(), func(id string) bool { return id == former })
+		assert.Equal(t, c.leader(), others[len(others)-1])
+	}
+}
+
 // TestSuspicionDoesNotDisruptALivingLeader guards against a follower behind a cut that
 // refuses connections in one direction, which would replace the leader of all others.
 func TestSuspicionDoesNotDisruptALivingLeader(t *testing.T) {
