A head that may still open is not stalled, and one that serves is not free

Cause: one proof used for another fact. A group was released once a member had left for longer than a head stalls, also where the head might open only later; and an endpoint of a released group was free whatever it reported. Evidence: 'group released proof=head-stalled' 8.1 s after the order to open, then a join decided on a report that is 1 ms old and counts that order. Ruled out: an old report, two leaders.

Change: a group knows until when an unanswered order to open it may be carried out, and its head counts as stalled only after that; a head that reports to serve a released group takes it back and leaves first; a group that an earlier leader formed is formed anew before it opens, since that leader's orders may still be under way (found by the random histories).

--- a/internal/placer/adopt.go
+++ b/internal/placer/adopt.go
@@ -18,10 +18,25 @@
 	p.identifyMembers()
 	for _, e := range p.msg.Endpoints {
 		r := e.Report
-		if r.Group == "" || r.State == MemberBroken || p.groups[r.Group] != nil || p.ended[r.Group] {
+		if r.Group == "" || r.State == MemberBroken || p.groups[r.Group] != nil {
 			continue
 		}
-		p.adoptReported(r.Group, r.Epoch)
+		if !p.ended[r.Group] {
+			p.adoptReported(r.Group, r.Epoch)
+		} else if r.State == MemberOpen || r.State == MemberClosing {
+			p.closeReleased(r.Group, r.Epoch)
+		}
+	}
+}
+
+// closeReleased takes a released group back whose head reports to serve after all, so that
+// its members leave it before they are free.
+func (p *Placer) closeReleased(name string, epoch int) {
+	delete(p.ended, name)
+	p.adoptReported(name, epoch)
+	if g := p.groups[name]; g != nil {
+		p.setState(g, Closing, "its head serves after its release")
+		g.Cutover = true
 	}
 }
 
@@ -45,6 +60,9 @@
 	}
 	g.FabricDomain = p.byID[view.Members[0]].Report.FabricDomain
 	p.groups[g.Name] = g
+	if !view.Open {
+		p.expectOpening(g)
+	}
 }
 
 // identifyMembers completes the members of published groups whose boot was not known when
@@ -96,4 +114,5 @@
 		g.Reason = "found incomplete at takeover"
 	}
 	p.groups[name] = g
+	p.expectOpening(g)
 }
--- a/internal/placer/fake_test.go
+++ b/internal/placer/fake_test.go
@@ -40,7 +40,7 @@
 	staging      string
 }
 
-// delayedOrder is an order in transit.
+// delayedOrder is an order that an endpoint has received and carries out late.
 type delayedOrder struct {
 	deliverAt time.Duration
 	order     Order
@@ -57,7 +57,7 @@
 	endpoints  []*fakeEndpoint
 	everReady  map[string]map[string]bool // everReady holds the instances that were ever ready, by group key.
 	delayed    []delayedOrder
-	orderDelay func() time.Duration // orderDelay returns the delay of an order; 0 delivers it at once.
+	orderDelay func(Order) time.Duration // orderDelay returns how late an order is carried out, without an answer; 0 answers it at once.
 	demand     map[string]float64
 	evacuated  []string // evacuated are the evacuated failure domains.
 	streams    bool     // streams means that each serving group delivers events all the time, of which the control process knows.
@@ -78,7 +78,7 @@
 // newCluster returns a cluster of the given number of fabric domains of the given
 // size.
 func newCluster(domains, size int) *cluster {
-	c := &cluster{everReady: map[string]map[string]bool{}, orderDelay: func() time.Duration { return 0 }, demand: map[string]float64{}}
+	c := &cluster{everReady: map[string]map[string]bool{}, orderDelay: func(Order) time.Duration { return 0 }, demand: map[string]float64{}}
 	for d := range domains {
 		for i := range size {
 			c.add(fmt.Sprintf("e%d-%d", d, i), fmt.Sprintf("d%d", d))
@@ -142,7 +142,10 @@
 		c.orderCount++
 		c.token++
 		token := c.term*EpochsPerTerm + c.token
-		if delay := c.orderDelay(); delay > 0 {
+		if !c.reaches(order) {
+			continue
+		}
+		if delay := c.orderDelay(order); delay > 0 {
 			c.delayed = append(c.delayed, delayedOrder{c.now + delay, order, token})
 			if order.Op == OpStage {
 				c.placer.RecordStageFailure(order.Instance)
@@ -153,6 +156,12 @@
 	}
 }
 
+// reaches reports whether an order reaches its endpoint now.
+func (c *cluster) reaches(o Order) bool {
+	e := c.endpoint(o.Instance)
+	return e != nil && e.alive && !e.partitioned
+}
+
 // planMsg returns the placer's input for the current state.
 func (c *cluster) planMsg() PlanMsg {
 	msg := PlanMsg{Now: c.now, Service: "s", Engine: testEngine, Demand: c.demand, Evacuated: c.evacuated}
@@ -284,10 +293,11 @@
 	}
 }
 
-// deliver makes an endpoint obey an order, unless its token or epoch is outdated.
+// deliver makes an endpoint obey an order, unless its token or epoch is outdated. It
+// carries out what it has received also behind a cut.
 func (c *cluster) deliver(o Order, token int) {
 	e := c.endpoint(o.Instance)
-	if e == nil || !e.alive || e.partitioned || e.view.Born != o.BootTime {
+	if e == nil || !e.alive || e.view.Born != o.BootTime {
 		return
 	}
 	if token < e.highestToken || (o.Op == OpJoin && o.Epoch < e.highestEpoch) {
--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -17,6 +17,7 @@
 
 // advance takes the next step in the lifecycle of a group.
 func (p *Placer) advance(g *Group) {
+	p.noteOpened(g)
 	switch g.State {
 	case Forming:
 		p.form(g)
@@ -30,14 +31,14 @@
 }
 
 // sendOrder adds an order to the plan, unless the same one was sent to the member
-// within the retry interval.
-func (p *Placer) sendOrder(g *Group, m Member, order Order) {
+// within the retry interval. It reports whether it did.
+func (p *Placer) sendOrder(g *Group, m Member, order Order) bool {
 	key := orderKey(order.Op, m.Instance)
 	acceptedOrders := p.byID[m.Instance].Report.Orders
 	last, ok := g.lastSent[key]
 	outdated := last.rejected && last.acceptedOrders != acceptedOrders
 	if ok && !outdated && p.msg.Now-last.at < p.options.retryInterval {
-		return
+		return false
 	}
 	if g.lastSent == nil {
 		g.lastSent = map[string]sentOrder{}
@@ -49,6 +50,7 @@
 	order.Epoch = g.Epoch
 	order.AcceptedOrders = acceptedOrders
 	p.orders = append(p.orders, order)
+	return true
 }
 
 // maxRefusals is the number of refused orders that a group survives: an order can
@@ -122,7 +124,13 @@
 			return
 		}
 	}
-	if ready == len(g.Members) {
+	switch {
+	case ready < len(g.Members):
+	case g.adopted:
+		// An earlier leader may have ordered members to join another group, without an
+		// answer. The next join of this leader rules that out.
+		p.abandon(g, "an earlier leader formed the group")
+	default:
 		p.setState(g, Opening, "")
 		p.open(g)
 	}
@@ -148,7 +156,25 @@
 		p.setState(g, Open, "")
 		return
 	}
-	p.sendOrder(g, g.Head(), Order{Op: OpOpen})
+	if p.sendOrder(g, g.Head(), Order{Op: OpOpen}) {
+		p.expectOpening(g)
+	}
+}
+
+// maxOrderDelay is how long after its sending an endpoint may carry out an order that it has
+// not answered.
+const maxOrderDelay = 12 * time.Second
+
+// expectOpening records that an order to open a group may be under way from now on.
+func (p *Placer) expectOpening(g *Group) { g.opensUntil = p.msg.Now + maxOrderDelay + formMargin }
+
+// noteOpened records that no order to open a group is under way, if its head has reported to
+// have carried one out: a second one is bound to the same count of accepted orders.
+func (p *Placer) noteOpened(g *Group) {
+	switch p.headState(g) {
+	case MemberOpen, MemberClosing, MemberBroken:
+		g.opensUntil = 0
+	}
 }
 
 // failureReason returns why a group cannot continue, or "". A group whose streams
@@ -266,7 +292,7 @@
 
 // detachMembers orders the reachable members to leave an unreachable head. A group
 // that a member has left stalls and stops by its own stall limit, after which it is
-// released. One whose members are all forgotten is dropped, and adopted again if one of
+// released. The stall of a head that was not seen open may begin as late as it may open. One whose members are all forgotten is dropped, and adopted again if one of
 // them returns.
 func (p *Placer) detachMembers(g *Group) {
 	if !slices.ContainsFunc(g.Members, p.isKnown) {
@@ -286,7 +312,7 @@
 	if memberLeft && g.detachedAt == 0 {
 		g.detachedAt = p.msg.Now
 	}
-	if g.detachedAt != 0 && p.msg.Now-g.detachedAt > p.options.stallTimeout {
+	if g.detachedAt != 0 && p.msg.Now-max(g.detachedAt, g.opensUntil) > p.options.stallTimeout {
 		p.release(g, ProofHeadStalled)
 	}
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -113,6 +113,7 @@
 	formDeadline time.Duration        // formDeadline is when a group that has not opened is abandoned; 0 means no deadline.
 	preempted    bool                 // preempted is set if the group closes to free its members for another model.
 	detachedAt   time.Duration        // detachedAt is when a member was first seen to have left an unreachable head; 0 if none has.
+	opensUntil   time.Duration        // opensUntil is until when an order to open without an answer may take effect; 0 if none is known to be under way.
 	lastSent     map[string]sentOrder // lastSent holds the last order of each operation to each instance.
 }
 
@@ -134,7 +135,7 @@
 	ProofNeverOpened Proof = "never-opened" // ProofNeverOpened means that the head was never ordered to open the group.
 	ProofHeadLeft    Proof = "head-left"    // ProofHeadLeft means that the head reported that it is not in the group.
 	ProofHeadEnded   Proof = "head-ended"   // ProofHeadEnded means that the head's boot has ended.
-	ProofHeadStalled Proof = "head-stalled" // ProofHeadStalled means that a member left longer ago than a head can stall.
+	ProofHeadStalled Proof = "head-stalled" // ProofHeadStalled means that a member left longer ago than a head can stall, which can't have opened since.
 )
 
 // Release is the end of a group whose members became free.
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -147,7 +147,7 @@
 	head := c.headOf("large")
 	group := head.report.Group
 	head.partitioned = true
-	c.orderDelay = func() time.Duration { return time.Hour }
+	c.orderDelay = func(Order) time.Duration { return time.Hour }
 	c.run(15 * time.Second)
 	exists := slices.ContainsFunc(c.placer.Groups(), func(g Group) bool { return g.Name == group })
 	assert.Assert(t, exists, "the members of %s were released before they left", group)
@@ -332,7 +332,7 @@
 		c.run(20 * time.Second)
 		c.demand = map[string]float64{"large": 4, "small": 4}
 		delayedTenths := rapid.SampledFrom([]int{0, 2, 5}).Draw(t, "late-tenths")
-		c.orderDelay = func() time.Duration {
+		c.orderDelay = func(Order) time.Duration {
 			if rapid.IntRange(0, 9).Draw(t, "late") >= delayedTenths {
 				return 0
 			}
--- a/internal/placer/refusal_test.go
+++ b/internal/placer/refusal_test.go
@@ -205,7 +205,7 @@
 		c.demand = map[string]float64{"large": 4, "small": 4}
 		c.streams = rapid.Bool().Draw(t, "streams")
 		delayedTenths := rapid.SampledFrom([]int{0, 2, 5}).Draw(t, "late-tenths")
-		c.orderDelay = func() time.Duration {
+		c.orderDelay = func(Order) time.Duration {
 			if rapid.IntRange(0, 9).Draw(t, "late") >= delayedTenths {
 				return 0
 			}
--- a/internal/placer/scale_test.go
+++ b/internal/placer/scale_test.go
@@ -69,7 +69,7 @@
 // they must not be held forever.
 func TestGroupIsAbandonedAfterFormDeadline(t *testing.T) {
 	c := newCluster(1, 4)
-	c.orderDelay = func() time.Duration { return time.Hour }
+	c.orderDelay = func(Order) time.Duration { return time.Hour }
 	c.step()
 	name := c.placer.Groups()[0].Name
 	c.run(formDeadlineFactor*(testEngine.Models[0].ColdLoadTime+formMargin) + planInterval)
