Answers are checked for sound heads and whole bodies in one place

Cause: the system tells of a reset once. Where the write of the upload gets it, the next read finds the connection at its end, which ends an answer without a length. And the HTTP library takes any status of three digits, blanks in names and before the colon, other versions, a coding in HTTP/1.0, two framings at once.

Change: in internal/transporter, for all readers of answers. exchangeConn waits at the end of a connection until the request was sent, and makes the end an error where it could not be; headChecker checks heads as they arrive. Both are ErrBroken, so that a request may have run. The quickstart uses the same client.

--- a/internal/commander/quickstart.go
+++ b/internal/commander/quickstart.go
@@ -219,7 +219,7 @@
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := transporter.NewOperatorClient().Do(request)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -29,7 +29,8 @@
 )
 
 // testConfiguration decodes every document to the same configuration, but that version 4
-// has another key, and version 5 limits the cold endpoints of its services.
+// has another key, version 5 limits the cold endpoints of its services, and version 6 allows
+// long bodies.
 func testConfiguration(document []byte) (*describer.Configuration, error) {
 	version, key := 3, "k1"
 	if string(document) == "4" {
@@ -39,6 +40,10 @@
 	if string(document) == "5" {
 		version, coldTime, coldRate = 5, 3*time.Second, 32
 	}
+	maxBodyBytes := 1000
+	if string(document) == "6" {
+		version, maxBodyBytes = 6, 2*uploadBytes
+	}
 	splits := func(service string) []describer.Split { return []describer.Split{{Service: service, Weight: 1}} }
 	model := describer.Model{Name: "m", GroupSize: 2, InitialShare: 1, TimeFactor: 1, ColdLoadTime: time.Second, WarmLoadTime: time.Second}
 	return &describer.Configuration{
@@ -57,7 +62,7 @@
 		},
 		RequiresKeys:  true,
 		Organisations: []describer.Organisation{{Name: "press", Keys: []string{key}}},
-		Limits:        describer.Limits{MaxBodyBytes: 1000},
+		Limits:        describer.Limits{MaxBodyBytes: maxBodyBytes},
 	}, nil
 }
 
--- a/internal/transporter/connection.go
+++ b/internal/transporter/connection.go
@@ -4,11 +4,10 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"papayaseam/internal/timekeeper"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Connection is the connection of one exchange. It is valid once the exchange has
@@ -39,22 +38,32 @@
 	}
 }
 
-// errNotFinal is returned for an answer whose status is none or not final.
-var errNotFinal = errors.New("the status of the answer is not final; its connection is closed")
-
-// DoOn is Do, and returns the connection of the exchange too. An answer whose status is
-// below 200 is ErrBroken: no request asks for another protocol.
+// DoOn is Do, and returns the connection of the exchange too. An answer that is not sound is
+// ErrUnsound, with ErrBroken: it says nothing on whether the request ran. So is one whose status
+// is not final, since no request asks for another protocol.
 func (c *Client) DoOn(request *http.Request) (*http.Response, *Connection, error) {
 	connection := &Connection{}
+	var current atomic.Pointer[exchangeConn] // current is used by the library's goroutines too.
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connection.conn, connection.reused, connection.sentAt = info.Conn, info.Reused, timekeeper.Now()
+		if c, ok := info.Conn.(*exchangeConn); ok {
+			c.begin()
+			current.Store(c)
+		}
+	}, WroteRequest: func(httptrace.WroteRequestInfo) {
+		if c := current.Load(); c != nil {
+			c.endRequest()
+		}
 	}}
 	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	err = classify(err, connection.Opened())
-	if err == nil && response.StatusCode < http.StatusOK {
+	if err != nil {
+		return response, connection, err
+	}
+	if err := checkSound(response, connection); err != nil {
 		connection.Abandon()
 		_ = response.Body.Close()
-		return nil, connection, errors.Mark(errors.Wrapf(errNotFinal, "status %03d", response.StatusCode), ErrBroken)
+		return nil, connection, err
 	}
-	return response, connection, err
+	return response, connection, nil
 }
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -72,12 +72,12 @@
 	for _, opt := range opts {
 		opt(transport)
 	}
-	return newClient(transport)
+	return newClient(checkExchanges(transport))
 }
 
 // NewOneShotClient returns a client that opens a connection for each call, for
 // calls that the HTTP library must never replay.
-func NewOneShotClient() *Client { return newClient(newTransport(false)) }
+func NewOneShotClient() *Client { return newClient(checkExchanges(newTransport(false))) }
 
 // NewOperatorClient returns a client for the calls of an operator, which control redirects
 // to its leader. All other clients follow no redirect: it is an answer like any other.
