A control process returns the configuration to operators once it votes

What operators see: docs/operators/stops.md tells them to start a successor, wait until it answers GET /Config.Get, and then stop the machine that it replaces. Since joiners are learners first, a successor has a leader, and answered, before it had its vote: the replaced machine was stopped too early, and the next lost disk left one of three voters.

Ruled out: the half quorum (one of three is left), a vote that was not offered (three voters keep theirs).

Change: NewestConfiguration returns ErrNoLeader on a process with a disk that does not vote, as it did while such a process had no leader. TestLearnerDoesNotReturnTheConfiguration failed before.

--- a/internal/director/enrol.go
+++ b/internal/director/enrol.go
@@ -105,6 +105,13 @@
 	return replicas
 }
 
+// isLearner reports whether this process has a disk and no vote.
+func (d *Director) isLearner() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.journal != nil && !slices.Contains(d.voters, d.identity)
+}
+
 // minVoters returns the number of voters needed to tolerate the configured losses.
 func (d *Director) minVoters() int { return 2*d.cfg.ToleratedLosses + 1 }
 
--- a/internal/director/enrol_test.go
+++ b/internal/director/enrol_test.go
@@ -1,13 +1,21 @@
 package director
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 
+	"papayaseam/internal/cataloguer"
 	"papayaseam/internal/enroller"
 	"papayaseam/internal/messenger"
+	"papayaseam/internal/packer"
 	"papayaseam/internal/replicator"
+	"papayaseam/internal/transporter"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -53,3 +61,25 @@
 	answer := wiped.director.handleReplicate(t.Context(), messenger.ReplicaBatch{Messages: []messenger.ReplicaMessage{{To: former}}})
 	assert.Equal(t, answer.Replica, wiped.director.identity)
 }
+
+// TestLearnerDoesNotReturnTheConfiguration guards against a successor that answers operators
+// before it votes: they stop the machine that it replaces then, and the next loss ends control.
+func TestLearnerDoesNotReturnTheConfiguration(t *testing.T) {
+	mux := http.NewServeMux()
+	transporter.Handle(mux, "POST /fleet/digest", func(context.Context, messenger.Digest) messenger.Confirmation {
+		return messenger.Confirmation{Confirmed: true, Version: 7}
+	})
+	leader := httptest.NewServer(mux)
+	defer leader.Close()
+	d := newSpareLeader(t)
+	packed, err := packer.Pack([]byte("7 seven"))
+	assert.NilError(t, err)
+	d.state.Update(cataloguer.CommandMsg{Command: messenger.FleetCommand{Version: 7, Document: packed}})
+	d.leading, d.leader = false, "b@"+strings.TrimPrefix(leader.URL, "http://")
+	document, err := d.NewestConfiguration(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, document, "7 seven")
+	d.identity = "x@9"
+	_, err = d.NewestConfiguration(t.Context())
+	assert.Assert(t, errors.Is(err, ErrNoLeader), "%v", err)
+}
--- a/internal/director/serve.go
+++ b/internal/director/serve.go
@@ -291,8 +291,12 @@
 }
 
 // NewestConfiguration returns the newest configuration, confirmed by a quorum. It
-// returns ErrNoLeader if it can't be confirmed or there is none.
+// returns ErrNoLeader if it can't be confirmed or there is none, and on a process with a
+// disk that does not vote: operators take an answer for the sign that a successor votes.
 func (d *Director) NewestConfiguration(ctx context.Context) (string, error) {
+	if d.isLearner() {
+		return "", ErrNoLeader
+	}
 	answer := d.handleDocument(ctx, messenger.DocumentRequest{})
 	if !answer.Known || answer.Version == 0 {
 		return "", ErrNoLeader
