Orders that a process reads after a standstill are not carried out

An order on an evacuation has no number that would tell its age, unlike a configuration.

Change: a beat of 50 ms in each control process shows a standstill of more than 0.5 s, which is shorter than operators wait for an answer. For a second after it, orders on evacuations and departures that name no start get no clear answer, so that they are sent again. Checked where an order is read and again before it is committed.

--- a/internal/director/announce.go
+++ b/internal/director/announce.go
@@ -26,6 +26,9 @@
 	if registration.Endpoint == nil {
 		return messenger.RegistrationAnswer{Message: "the announcement names no endpoint; send one"}
 	}
+	if registration.Gone && registration.Endpoint.Born == 0 && d.maybeLate() {
+		return messenger.RegistrationAnswer{Message: "the departure names no start and may be late; send it again"}
+	}
 	registration = d.withoutUnusedCold(registration)
 	if _, leading := d.leaderAddress(); !leading {
 		return d.forwardAnnouncement(ctx, registration)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -180,6 +180,7 @@
 	lastLeader  string // lastLeader is the last known leader other than this process.
 	attendance  *enroller.Attendance
 	applicants  *enroller.Applicants
+	standstill  standstill
 	stopping    bool          // stopping is set once a planned stop has begun.
 	confirmedAt time.Duration // confirmedAt is the start of the last round in which a quorum confirmed this leader.
 	lastRoundAt time.Duration // lastRoundAt is the start of the last confirmed round, through whichever leader.
@@ -251,6 +252,7 @@
 	reaped := make(chan struct{})
 	go d.reapUntilDone(ctx, reaped)
 	d.spawn("sync", func() { d.followLeader(ctx) })
+	d.spawn("beat", func() { runEvery(ctx, beatInterval, d.beat) })
 	d.spawn("confirm", func() { runEvery(ctx, idleRoundInterval, d.runIdleRound) })
 	var err error
 	if d.journal == nil {
--- a/internal/director/evacuate.go
+++ b/internal/director/evacuate.go
@@ -51,6 +51,11 @@
 	if request.Evacuation == nil {
 		return messenger.EvacuationAnswer{}
 	}
+	if d.maybeLate() {
+		countEvacuationOrder(*request.Evacuation, "late")
+		d.log.Info("evacuation order not carried out; it may have been sent before this process stood still", "failure-domain", request.Evacuation.FailureDomain, "active", request.Evacuation.Active)
+		return messenger.EvacuationAnswer{}
+	}
 	if _, leading := d.leaderAddress(); !leading {
 		request.Hops++
 		answer, _ := forwardToLeader[messenger.EvacuationAnswer](ctx, d, "/fleet/evacuate", request.Hops, commandTimeout, request)
@@ -88,6 +93,9 @@
 			return nil
 		}
 	}
+	if d.maybeLate() {
+		return ErrOutcomeUnknown
+	}
 	_, err := d.commit(ctx, messenger.FleetCommand{Evacuation: &order})
 	return err
 }
