A released group is taken back only by a report from after its release

Cause: a head that serves a released group takes it back since, and the last report of a head that can't be reached says open for as long as the endpoint is known: its group was taken back in the plan after its release and stayed. No endpoint was used because of it; the group was logged and counted as closing.

Change: only an endpoint that answers shows that its head serves. Test: TestReleasedGroupOfAnUnreachableHeadStaysReleased failed before.

--- a/internal/placer/adopt.go
+++ b/internal/placer/adopt.go
@@ -23,12 +23,22 @@
 		}
 		if !p.ended[r.Group] {
 			p.adoptReported(r.Group, r.Epoch)
-		} else if r.State == MemberOpen || r.State == MemberClosing {
+		} else if p.servesReleased(e) {
 			p.closeReleased(r.Group, r.Epoch)
 		}
 	}
 }
 
+// servesReleased reports whether an endpoint has reported to serve a group after that was
+// released. The last report of an endpoint that can't be reached is from before.
+func (p *Placer) servesReleased(e tracker.Endpoint) bool {
+	switch p.health(Member{e.View.Instance, e.View.Born}) {
+	case unreachable, dead:
+		return false
+	}
+	return e.FailingSince == 0 && (e.Report.State == MemberOpen || e.Report.State == MemberClosing)
+}
+
 // closeReleased takes a released group back whose head reports to serve after all, so that
 // its members leave it before they are free.
 func (p *Placer) closeReleased(name string, epoch int) {
--- a/internal/placer/late_test.go
+++ b/internal/placer/late_test.go
@@ -102,3 +102,17 @@
 	assert.Equal(t, len(c.violations), 0, "%v", c.violations)
 	assert.Assert(t, member.report.Group != former && member.report.Group != "small/1999999")
 }
+
+// TestReleasedGroupOfAnUnreachableHeadStaysReleased guards against a group that is taken back
+// by the last report of a head that can't be reached, and then stays for good.
+func TestReleasedGroupOfAnUnreachableHeadStaysReleased(t *testing.T) {
+	c := servingCluster()
+	head := c.headOf("large")
+	group := head.report.Group
+	head.partitioned = true
+	c.run(40 * time.Second)
+	assert.Assert(t, c.placer.ended[group])
+	for _, g := range c.placer.Groups() {
+		assert.Assert(t, g.Name != group, "the group is %s: %s", g.State, g.Reason)
+	}
+}
