--- a/internal/placer/lifecycle.go
+++ b/internal/placer/lifecycle.go
@@ -292,8 +292,9 @@
 
 // detachMembers orders the reachable members to leave an unreachable head. A group
 // that a member has left stalls and stops by its own stall limit, after which it is
-// released. The stall of a head that was not seen open may begin as late as it may open. One whose members are all forgotten is dropped, and adopted again if one of
-// them returns.
+// released. The stall of a head that was not seen open may begin as late as it may open.
+// A group whose members are all forgotten is dropped, and adopted again if one of them
+// returns.
 func (p *Placer) detachMembers(g *Group) {
 	if !slices.ContainsFunc(g.Members, p.isKnown) {
 		delete(p.groups, g.Name)
