The turn of a campaign follows the voters of now

Cause: a voter worked out its turn when it first heard of a leader.

Change: the election timeout of a follower is worked out from the voters of now, at each tick; a suspicion that is over no longer shortens it. Test: TestTurnsFollowTheVoters failed before.

--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -13,7 +13,7 @@
 		m.tickLeader()
 		return
 	}
-	if m.elapsedTicks < m.electionTimeoutTicks {
+	if m.elapsedTicks < m.timeoutTicks() {
 		return
 	}
 	if m.isMember(m.id) {
@@ -180,7 +180,6 @@
 		return
 	}
 	m.leaderSuspected = true
-	m.electionTimeoutTicks = min(m.electionTimeoutTicks, m.options.heartbeatTicks+m.turnTicks())
 }
 
 // handleVoteRequest grants a vote or pre-vote if the candidate's log is at least as
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -266,10 +266,19 @@
 	}
 	m.elapsedTicks = 0
 	m.electionTimeoutTicks = minTicks + m.rng.IntN(jitterTicks)
-	if m.role == Follower && m.leader != "" {
-		// The other voters heard the last heartbeat an interval later at most.
-		m.electionTimeoutTicks = m.options.electionTicks + m.options.heartbeatTicks + m.turnTicks()
+}
+
+// timeoutTicks returns the election timeout. That of a replica with a leader ends with its
+// turn among the voters of now.
+func (m *Machine) timeoutTicks() int {
+	switch {
+	case m.role != Follower || m.leader == "":
+		return m.electionTimeoutTicks
+	case m.leaderSuspected:
+		return m.options.heartbeatTicks + m.turnTicks()
 	}
+	// The other voters heard the last heartbeat an interval later at most.
+	return m.options.electionTicks + m.options.heartbeatTicks + m.turnTicks()
 }
 
 func (m *Machine) saveVoteState() {
--- a/internal/replicator/suspect_test.go
+++ b/internal/replicator/suspect_test.go
@@ -57,6 +57,26 @@
 	}
 }
 
+// TestTurnsFollowTheVoters guards against voters whose turns are those of the voters at the time
+// when they first heard of the leader, so that two of them campaign at the same time.
+func TestTurnsFollowTheVoters(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, 3, seed)
+		c.runTicks(60)
+		former := c.leader()
+		for _, id := range []string{"x", "y"} {
+			c.disks[id] = &disk{}
+			c.start(id)
+			c.learn(id)
+			c.step(former, ChangeVotersMsg{Add: id}, -1)
+			c.runTicks(10)
+		}
+		c.isolated[former] = true
+		c.runTicks(silentTicks)
+		assert.Equal(t, c.leader(), "y", "seed %d", seed)
+	}
+}
+
 // TestNewestVoterLeadsNext guards against a replacement of all control machines, one after the
 // other, in which each next one that is stopped has just become the leader.
 func TestNewestVoterLeadsNext(t *testing.T) {
