--- a/review/driver-4/evacuate.go
+++ b/review/driver-4/evacuate.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -11,6 +10,8 @@
 const (
 	// evacuateWithin is the bound evacuate_ms of the settings.
 	evacuateWithin = 5 * time.Second
+	// cutTime is how long the path between the operator and one control process is cut.
+	cutTime = 5500 * time.Millisecond
 	// orderPause is the time between two orders of the operator.
 	orderPause = time.Second
 	// evacuationTime is how long the first evacuation lasts.
@@ -25,14 +26,6 @@
 "services":[{"name":"desk","health_path":"/health","max_connections":130,"protocol":"h1","tls":false}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
-// orderAt sends an operator's order to one control process and reports whether it was
-// acknowledged.
-func (l *lab) orderAt(i int, path string) bool {
-	status, text, err := l.send(http.MethodPost, "http://"+l.controlAddress(i)+path, "", time.Second)
-	l.note("order %s at control-%d is answered %d %q %v", path, i, status, text, err)
-	return err == nil && status/100 == 2
-}
-
 // lateEnd withdraws the evacuation of a zone and orders it again, while the path from the
 // operator to one control process is cut. The operator repeats what that process does not
 // answer at another one.
@@ -53,11 +46,7 @@
 		}
 		desks = append(desks, s)
 	}
-	served := func() bool {
-		status, _, err := l.send(http.MethodPost, "http://"+l.entryAddress(0)+"/look/1", "x", 1200*time.Millisecond)
-		return err == nil && status == http.StatusOK
-	}
-	if !l.await(func() bool { return served() && desks[0].ran.Load() > 0 }) {
+	if !l.await(func() bool { return l.served("look") && desks[0].ran.Load() > 0 }) {
 		return false, errors.New("the zone's server gets no requests")
 	}
 	leader, ok := l.leader()
@@ -74,7 +63,7 @@
 				case <-stop:
 					return
 				default:
-					served()
+					_ = l.served("look")
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
@@ -83,22 +72,25 @@
 	defer work.Wait()
 	defer close(stop)
 	start, end := "/Evacuate.Start/"+zone(0), "/Evacuate.End/"+zone(0)
-	other := (leader + 1) % controls
-	if !l.orderAt(other, start) {
+	other := l.controlAddress((leader + 1) % controls)
+	if !l.callAt("another", other, start) {
 		return false, errors.New("the first evacuation was not acknowledged")
 	}
 	time.Sleep(evacuationTime)
-	var late sync.WaitGroup
-	defer late.Wait()
+	first := l.controlAddress(leader)
 	if trouble {
-		late.Go(func() { l.callThroughCut(l.controlAddress(leader), end, cutTime) })
-		time.Sleep(time.Second)
+		path, err := l.cut(first, cutTime)
+		if err != nil {
+			return false, err
+		}
+		defer path.close()
+		first = path.address()
 	}
-	if !l.orderAt(other, end) {
+	if !l.callAt(fmt.Sprint("control-", leader), first, end) && !l.callAt("another", other, end) {
 		return false, errors.New("the withdrawal was not acknowledged")
 	}
 	time.Sleep(orderPause)
-	if !l.orderAt(other, start) {
+	if !l.callAt("another", other, start) {
 		return false, errors.New("the second evacuation was not acknowledged")
 	}
 	time.Sleep(evacuateWithin)
--- a/review/driver-4/leave.go
+++ b/review/driver-4/leave.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -19,10 +16,12 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 const (
-	// cutTime is how long the path between the servers and one control process is cut.
-	cutTime = 5500 * time.Millisecond
+	// serverCutTime is how long the path between the servers and one control process is cut.
+	serverCutTime = 10 * time.Second
+	// deskServers is the number of servers of the service that is restarted.
+	deskServers = 2
 	// drainTime is how long a server serves on after its departure was acknowledged.
-	drainTime = 2200 * time.Millisecond
+	drainTime = 2600 * time.Millisecond
 	// downTime is how long a server takes to start again.
 	downTime = 300 * time.Millisecond
 	// dayLength is how long requests are sent.
@@ -30,36 +29,8 @@
 	// A round of requests is one order and some looks.
 	roundTime     = 250 * time.Millisecond
 	looksPerRound = 4
-	answerTime    = 2 * time.Second
 )
 
-// callThroughCut sends a call over a path that is cut for a time. The caller gets no answer
-// within a second and closes its end; the path delivers the bytes and the close once it is
-// whole again.
-func (l *lab) callThroughCut(address, path string, cut time.Duration) {
-	time.Sleep(cut)
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		l.note("late call %s: %v", path, err)
-		return
-	}
-	defer func() { _ = conn.Close() }()
-	l.note("late call %s arrives", path)
-	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n", path, address)
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	_ = conn.SetReadDeadline(time.Now().Add(answerTime))
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		l.note("late call %s: %v", path, err)
-		return
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, _ := io.ReadAll(response.Body)
-	l.note("late call %s is answered %d %q, which nobody reads", path, response.StatusCode, text)
-}
-
 // kindCount counts the requests of a kind.
 type kindCount struct{ asked, served atomic.Int64 }
 
@@ -93,6 +64,39 @@
 	t.l.note("%s not served: %d %q %v", kind, status, text, err)
 }
 
+// starved waits for the end of the day and reports whether orders were served less than a
+// quarter as often as all requests.
+func (t *traffic) starved() bool {
+	t.ends.Wait()
+	orders, looks := &t.orders, &t.looks
+	t.l.note("served %d of %d orders and %d of %d looks", orders.served.Load(), orders.asked.Load(), looks.served.Load(), looks.asked.Load())
+	share := float64(orders.served.Load()) / float64(orders.asked.Load())
+	all := float64(orders.served.Load()+looks.served.Load()) / float64(orders.asked.Load()+looks.asked.Load())
+	t.l.note("share of orders served %.3f, of all requests %.3f", share, all)
+	return share < all/4
+}
+
+// served sends one request of a kind and reports whether it is answered with success.
+func (l *lab) served(kind string) bool {
+	status, _, err := l.send(http.MethodPost, "http://"+l.entryAddress(0)+"/"+kind+"/1", "x", 1200*time.Millisecond)
+	return err == nil && status == http.StatusOK
+}
+
+// callAt sends a call without a body to an address and reports whether it was acknowledged
+// within a second.
+func (l *lab) callAt(name, address, call string) bool {
+	// Each call has a channel of its own, which ends with it.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	response, err := client.Post("http://"+address+call, "", http.NoBody)
+	if err != nil {
+		l.note("%s at %s: no answer within a second", call, name)
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	l.note("%s at %s is answered %d", call, name, response.StatusCode)
+	return response.StatusCode/100 == 2
+}
+
 // lateLeave restarts the servers of a service under their ids, one after the other, each as
 // planned, while the path from the servers to one control process is cut.
 func lateLeave(l *lab, trouble bool) (bool, error) {
@@ -105,7 +109,7 @@
 			s.end()
 		}
 	}()
-	for i := range controls {
+	for i := range deskServers {
 		s, err := l.startServer(fmt.Sprint("i-desk-", i), "desk", zone(i), "")
 		if err != nil {
 			return false, err
@@ -117,11 +121,7 @@
 		return false, err
 	}
 	defer catalogue.end()
-	served := func(kind string) bool {
-		status, _, err := l.send(http.MethodPost, "http://"+l.entryAddress(0)+"/"+kind+"/1", "x", 1200*time.Millisecond)
-		return err == nil && status == http.StatusOK
-	}
-	if !l.await(func() bool { return served("order") && served("look") }) {
+	if !l.await(func() bool { return l.served("order") && l.served("look") }) {
 		return false, errors.New("the services are not served")
 	}
 	leader, ok := l.leader()
@@ -131,19 +131,19 @@
 	l.note("control-%d leads; the day begins", leader)
 	day := &traffic{l: l}
 	day.begin()
-	var late sync.WaitGroup
+	first := l.controlAddress(leader)
+	if trouble {
+		path, err := l.cut(first, serverCutTime)
+		if err != nil {
+			return false, err
+		}
+		defer path.close()
+		first = path.address()
+	}
 	for i, s := range desks {
-		path := "/Instances.Leave/" + s.id
 		l.note("server %s leaves", s.id)
-		first := leader
-		if trouble {
-			late.Go(func() { l.callThroughCut(l.controlAddress(leader), path, cutTime) })
-			time.Sleep(time.Second)
-			first = (leader + 1) % controls
-		}
-		status, _, err := l.send(http.MethodPost, "http://"+l.controlAddress(first)+path, "", time.Second)
-		l.note("departure of %s at control-%d is answered %d %v", s.id, first, status, err)
-		if err != nil || status/100 != 2 {
+		call := "/Instances.Leave/" + s.id
+		if !l.callAt(fmt.Sprint("control-", leader), first, call) && !l.callAt("another", l.controlAddress((leader+1)%controls), call) {
 			return false, errors.New("a departure was not acknowledged")
 		}
 		time.Sleep(drainTime)
@@ -153,12 +153,5 @@
 			return false, err
 		}
 	}
-	late.Wait()
-	day.ends.Wait()
-	orders, looks := &day.orders, &day.looks
-	l.note("served %d of %d orders and %d of %d looks", orders.served.Load(), orders.asked.Load(), looks.served.Load(), looks.asked.Load())
-	share := float64(orders.served.Load()) / float64(orders.asked.Load())
-	all := float64(orders.served.Load()+looks.served.Load()) / float64(orders.asked.Load()+looks.asked.Load())
-	l.note("share of orders served %.3f, of all requests %.3f", share, all)
-	return share < all/4, nil
+	return day.starved(), nil
 }
--- a/review/driver-4/main.go
+++ b/review/driver-4/main.go
@@ -31,8 +31,9 @@
 type play func(l *lab, trouble bool) (bool, error)
 
 var plays = map[string]play{
-	"late-leave": lateLeave,
-	"late-end":   lateEnd,
+	"late-leave":   lateLeave,
+	"late-end":     lateEnd,
+	"other-writer": otherWriter,
 }
 
 func main() { os.Exit(run()) }
