--- a/review/driver-4/evacuate.go
+++ b/review/driver-4/evacuate.go
@@ -13,7 +13,7 @@
 	// cutTime is how long the path between the operator and one control process is cut.
 	cutTime = 5500 * time.Millisecond
 	// orderPause is the time between two orders of the operator.
-	orderPause = time.Second
+	orderPause = 3 * time.Second
 	// evacuationTime is how long the first evacuation lasts.
 	evacuationTime = 6 * time.Second
 	// watchTime is how long requests are watched after the bound on the second evacuation.
