--- a/review/driver-4/lab.go
+++ b/review/driver-4/lab.go
@@ -42,6 +42,7 @@
 
 	mu        sync.Mutex
 	processes map[string]*exec.Cmd
+	cutTo     *cutPath // cutTo is the path of the servers to one control process, if that is cut.
 }
 
 func newLab(program, caseFolder string) (*lab, error) {
@@ -347,6 +348,16 @@
 	_, _ = io.WriteString(w, "answer to "+attempt)
 }
 
+// pathTo returns the address at which servers reach a control process now.
+func (l *lab) pathTo(i int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.cutTo; p != nil && p.target == l.controlAddress(i) && time.Now().Before(p.heals) {
+		return p.address()
+	}
+	return l.controlAddress(i)
+}
+
 // beats announces the server about every 1.2 s until it ends.
 func (s *server) beats() {
 	for {
@@ -366,7 +377,7 @@
 func (s *server) beat(state string) {
 	body, _ := json.Marshal(beat{Service: s.service, Address: s.address, Zone: s.zone, Version: "v1", Slots: 6, State: state, SeqNo: int(s.seq.Add(1)), Born: s.born})
 	for i := range controls {
-		status, _, err := s.l.send(http.MethodPost, "http://"+s.l.controlAddress(i)+"/Instances.Heartbeat/"+s.id, string(body), time.Second)
+		status, _, err := s.l.send(http.MethodPost, "http://"+s.l.pathTo(i)+"/Instances.Heartbeat/"+s.id, string(body), time.Second)
 		if err == nil && status/100 == 2 {
 			return
 		}
--- a/review/driver-4/leave.go
+++ b/review/driver-4/leave.go
@@ -131,19 +131,20 @@
 	l.note("control-%d leads; the day begins", leader)
 	day := &traffic{l: l}
 	day.begin()
-	first := l.controlAddress(leader)
 	if trouble {
-		path, err := l.cut(first, serverCutTime)
+		path, err := l.cut(l.controlAddress(leader), serverCutTime)
 		if err != nil {
 			return false, err
 		}
 		defer path.close()
-		first = path.address()
+		l.mu.Lock()
+		l.cutTo = path
+		l.mu.Unlock()
 	}
 	for i, s := range desks {
 		l.note("server %s leaves", s.id)
 		call := "/Instances.Leave/" + s.id
-		if !l.callAt(fmt.Sprint("control-", leader), first, call) && !l.callAt("another", l.controlAddress((leader+1)%controls), call) {
+		if !l.callAt(fmt.Sprint("control-", leader), l.pathTo(leader), call) && !l.callAt("another", l.controlAddress((leader+1)%controls), call) {
 			return false, errors.New("a departure was not acknowledged")
 		}
 		time.Sleep(drainTime)
