--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,5 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -C review/driver-4 -o ../../target/review-3 .
+go build -tags review -o target/review-3 ./review/driver-4
 go build -C review/driver-2 -o ../../target/review-driver-2 .
--- a/review/driver-4/lab.go
+++ b/review/driver-4/lab.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -41,33 +43,35 @@
 	attempts        atomic.Int64
 
 	mu        sync.Mutex
+	closed    bool // closed is whether nothing more is started.
 	processes map[string]*exec.Cmd
 	cutTo     *cutPath // cutTo is the path of the servers to one control process, if that is cut.
 }
 
-func newLab(program, caseFolder string) (*lab, error) {
-	program, err := filepath.Abs(program)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := os.Stat(program); err != nil {
-		return nil, err
-	}
-	folder, err := os.MkdirTemp("", "review-")
-	if err != nil {
-		return nil, err
-	}
-	record, err := os.Create(filepath.Join(caseFolder, "record.txt"))
+func newLab(program, recordFile string) (*lab, error) {
+	record, err := os.Create(recordFile)
 	if err != nil {
 		return nil, err
 	}
 	pid := os.Getpid()
-	return &lab{
-		program: program, folder: folder, record: record, startedAt: time.Now(),
+	l := &lab{
+		record: record, startedAt: time.Now(),
 		base:      fmt.Sprintf("127.%d.%d", 100+pid>>8&0x7f, pid&0xff),
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 		processes: map[string]*exec.Cmd{},
-	}, nil
+	}
+	l.program, err = filepath.Abs(program)
+	if err == nil {
+		_, err = os.Stat(l.program)
+	}
+	if err == nil {
+		l.folder, err = os.MkdirTemp("", "review-")
+	}
+	if err != nil {
+		l.note("could not run: %v", err)
+		return nil, errors.Join(err, record.Close())
+	}
+	return l, nil
 }
 
 // note writes a line to the record.
@@ -89,6 +93,20 @@
 
 // start starts a process with the command of the deploy file.
 func (l *lab) start(name, settings string) error {
+	if err := l.begin(name, settings); err != nil {
+		return err
+	}
+	l.note("process %s started", name)
+	return nil
+}
+
+// begin starts a process that close ends; after close it starts none.
+func (l *lab) begin(name, settings string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return errors.New("the lab is closed")
+	}
 	file := filepath.Join(l.folder, name+".ini")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
@@ -103,10 +121,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	l.mu.Lock()
 	l.processes[name] = cmd
-	l.mu.Unlock()
-	l.note("process %s started", name)
 	return nil
 }
 
@@ -239,6 +254,7 @@
 // close ends all processes.
 func (l *lab) close() {
 	l.mu.Lock()
+	l.closed = true
 	processes := l.processes
 	l.processes = map[string]*exec.Cmd{}
 	l.mu.Unlock()
--- a/review/driver-4/leave.go
+++ b/review/driver-4/leave.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/driver-4/main.go
+++ b/review/driver-4/main.go
@@ -1,10 +1,12 @@
+//go:build review
+
 // Command driver-4 plays the scripts of the third review: it starts the project's own
 // program as separate processes on loopback addresses, with stand-ins for servers, callers
-// and the operator, and writes what was sent, answered and run to record.txt.
+// and the operator, and writes what was sent, answered and run to the record file.
 //
 // # Usage
 //
-//	driver-4 CASE PROGRAM FOLDER
+//	driver-4 CASE PROGRAM RECORD
 //
 // It exits with 1 if the rule of the case was broken, 0 if it held, and 2 if the case could
 // not run. With TROUBLE=0 in the environment it plays the same without the disruption.
@@ -41,7 +43,7 @@
 
 func run() int {
 	if len(os.Args) != 4 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: driver-4 CASE PROGRAM FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: driver-4 CASE PROGRAM RECORD")
 		return couldNot
 	}
 	l, err := newLab(os.Args[2], os.Args[3])
