--- a/review/driver-4/lab.go
+++ b/review/driver-4/lab.go
@@ -221,7 +221,11 @@
 
 // send sends one request with an attempt id of its own.
 func (l *lab) send(method, url, body string, timeout time.Duration) (int, string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	return l.sendWith(context.Background(), method, url, body, timeout)
+}
+
+func (l *lab) sendWith(ctx context.Context, method, url, body string, timeout time.Duration) (int, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
@@ -313,7 +317,9 @@
 	born     int64
 	seq      atomic.Int64
 	http     *http.Server
-	stop     chan struct{}
+	lives    context.Context // lives ends with the boot, and what it sends with it.
+	stop     context.CancelFunc
+	known    bool // known is whether a control process has acknowledged this boot.
 	ends     sync.WaitGroup
 	ran      atomic.Int64
 	state    atomic.Value
@@ -329,7 +335,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{l: l, id: id, zone: inZone, service: service, address: listener.Addr().String(), born: time.Now().UnixMilli(), stop: make(chan struct{})}
+	s := &server{l: l, id: id, zone: inZone, service: service, address: listener.Addr().String(), born: time.Now().UnixMilli()}
+	s.lives, s.stop = context.WithCancel(context.Background())
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: patience}
 	s.ends.Go(func() { _ = s.http.Serve(listener) })
 	s.ends.Go(s.beats)
@@ -339,7 +346,7 @@
 
 // end ends the boot.
 func (s *server) end() {
-	close(s.stop)
+	s.stop()
 	_ = s.http.Close()
 	s.ends.Wait()
 	s.l.note("server %s born %d ended", s.id, s.born)
@@ -383,7 +390,7 @@
 		}
 		s.beat(state)
 		select {
-		case <-s.stop:
+		case <-s.lives.Done():
 			return
 		case <-time.After(1200 * time.Millisecond):
 		}
@@ -393,8 +400,12 @@
 func (s *server) beat(state string) {
 	body, _ := json.Marshal(beat{Service: s.service, Address: s.address, Zone: s.zone, Version: "v1", Slots: 6, State: state, SeqNo: int(s.seq.Add(1)), Born: s.born})
 	for i := range controls {
-		status, _, err := s.l.send(http.MethodPost, "http://"+s.l.pathTo(i)+"/Instances.Heartbeat/"+s.id, string(body), time.Second)
+		status, _, err := s.l.sendWith(s.lives, http.MethodPost, "http://"+s.l.pathTo(i)+"/Instances.Heartbeat/"+s.id, string(body), time.Second)
 		if err == nil && status/100 == 2 {
+			if !s.known {
+				s.known = true
+				s.l.note("server %s born %d is acknowledged", s.id, s.born)
+			}
 			return
 		}
 	}
