Orders on evacuations name a log index, which is checked as they are applied

Cause: an order that carries neither a version nor a time was carried out whenever it was read. The first copy of a revocation, held up for 5.5 s and repeated elsewhere since, ended an evacuation that was newer. The guard of before asked whether this process had stood still.

Only the log decides whether there was another one since. Each acknowledgement is a log entry, also where the state is as requested: otherwise an older order that its caller gave up could be carried out after it.

TestRepeatedOrderIsConfirmedWithoutALogEntry required the opposite of that. Its place takes TestRepeatedOrderInvalidatesLateOnes: one entry for each acknowledgement, none for an order that is sent back, and no growth of the state. TestOrderReadAfterAStandstillIsNotCarriedOut becomes TestOrderReadLateIsNotCarriedOut, which needs no standstill.

--- a/internal/cataloguer/cataloguer.go
+++ b/internal/cataloguer/cataloguer.go
@@ -34,8 +34,11 @@
 // MaxEndpoints bounds the number of endpoints kept; the oldest are dropped first.
 const MaxEndpoints = 4096
 
-// CommandMsg carries one committed command of the log.
-type CommandMsg struct{ Command messenger.FleetCommand }
+// CommandMsg carries one committed command of the log and its index there.
+type CommandMsg struct {
+	Command messenger.FleetCommand
+	Index   int
+}
 
 // Cataloguer is the state after the applied commands. It is not safe for
 // concurrent use.
@@ -74,9 +77,9 @@
 	return c.departed[messenger.Departure{Instance: instance, Born: born}]
 }
 
-// Update applies a command and reports whether it changed the document, the
-// departures, the quarantine, the evacuations or the traffic flag. Changes to the endpoints are not
-// reported.
+// Update applies a command and reports whether it changed the document, the departures,
+// the quarantine or the traffic flag, or was an order on an evacuation that was carried
+// out. Changes to the endpoints are not reported.
 func (c *Cataloguer) Update(msg CommandMsg) bool {
 	command := msg.Command
 	changed := false
@@ -85,7 +88,7 @@
 		c.quarantine.Update(quarantiner.ReportMsg{Command: *command.Quarantine})
 		changed = c.quarantine.Revision() != before
 	}
-	if command.Evacuation != nil && c.evacuations.Update(evacuator.CommandMsg{Evacuation: *command.Evacuation}) {
+	if command.Evacuation != nil && c.evacuations.Update(evacuator.CommandMsg{Evacuation: *command.Evacuation, Index: msg.Index}) {
 		changed = true
 	}
 	if command.Document != "" && command.Version > c.state.Version {
@@ -162,7 +165,9 @@
 	state := c.state
 	quarantine := c.quarantine.Snapshot()
 	state.Quarantine = &quarantine
-	state.Evacuations = c.evacuations.ListSince(0)
+	if evacuations := c.evacuations.Snapshot(); len(evacuations.FailureDomains) > 0 {
+		state.Evacuations = &evacuations
+	}
 	data, err := json.Marshal(state)
 	return data, errors.Wrap(err, "encode the snapshot")
 }
@@ -187,7 +192,7 @@
 		c.state.Quarantine = nil
 	}
 	if c.state.Evacuations != nil {
-		c.ApplyEvacuations(*c.state.Evacuations)
+		c.evacuations.Update(evacuator.RestoreMsg{List: *c.state.Evacuations})
 		c.state.Evacuations = nil
 	}
 	return nil
--- a/internal/cataloguer/cataloguer_test.go
+++ b/internal/cataloguer/cataloguer_test.go
@@ -89,6 +89,24 @@
 	assert.Equal(t, restored.Evacuations().Revision(), 0)
 }
 
+// TestSnapshotKeepsWhatInvalidatesLateOrders guards against a replica that starts from a
+// snapshot and carries out an order that the others reject: also where the orders so far
+// changed no failure domain.
+func TestSnapshotKeepsWhatInvalidatesLateOrders(t *testing.T) {
+	c, restored := New(), New()
+	order := func(active bool) messenger.FleetCommand {
+		return messenger.FleetCommand{Evacuation: &messenger.Evacuation{FailureDomain: "d0", Active: active, After: 4}}
+	}
+	assert.Assert(t, c.Update(CommandMsg{Command: order(false), Index: 5}))
+	data, err := c.Snapshot()
+	assert.NilError(t, err)
+	assert.NilError(t, restored.Restore(data))
+	for _, replica := range []*Cataloguer{c, restored} {
+		assert.Assert(t, !replica.Update(CommandMsg{Command: order(true), Index: 6}))
+		assert.Assert(t, !replica.Evacuations().Evacuated("d0"))
+	}
+}
+
 // TestSnapshotRestoreMatchesReplayedLog checks for random sequences of commands
 // that the version never decreases, and that a state restored from a snapshot at
 // any point stays equal to the original as both apply the same commands.
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -186,10 +186,12 @@
 	lastRoundAt time.Duration // lastRoundAt is the start of the last confirmed round, through whichever leader.
 	collector   collector
 	state       *cataloguer.Cataloguer
-	config      *describer.Configuration
-	fleet       fleet
-	holdTimer   *quarantiner.Timer
-	quarantine  *quarantineBatch // quarantine is the batch that reports can still join; nil if there is none.
+	// appliedIndex is the log index of the last entry in state; 0 in a process without a log.
+	appliedIndex int
+	config       *describer.Configuration
+	fleet        fleet
+	holdTimer    *quarantiner.Timer
+	quarantine   *quarantineBatch // quarantine is the batch that reports can still join; nil if there is none.
 	// crashedBoots holds the boots that count as crashed; empty unless this process leads.
 	crashedBoots      map[string]*crashedBoot
 	evacuationChanges map[string]evacuationChange // evacuationChanges maps failure domains to the last orders on them.
--- a/internal/director/evacuate.go
+++ b/internal/director/evacuate.go
@@ -31,17 +31,31 @@
 	return fmt.Sprintf("there is no failure domain %.*q; known are: %s", maxQuotedName, e.Domain, strings.Join(e.Known, ", "))
 }
 
+// UnboundOrderError means that an order on a failure domain does not say after which other
+// ones it was sent, or that one was carried out since. The caller should send it again with
+// After, if it still wants it.
+type UnboundOrderError struct{ After int }
+
+// Error says how to send the order again.
+func (e *UnboundOrderError) Error() string {
+	return fmt.Sprintf("the order is not bound to the newest one on its failure domain; send it again after log index %d", e.After)
+}
+
 // Evacuate commits an order that nothing more be sent to the endpoints of a failure
-// domain, or revokes it. It returns nil if what it requests was in force at some moment
-// after the call, an *UnknownDomainError if there is no such failure domain, and
-// ErrOutcomeUnknown if the same order should be sent again.
-func (d *Director) Evacuate(ctx context.Context, domain string, active bool) error {
-	answer := d.handleEvacuate(ctx, messenger.EvacuationRequest{Evacuation: &messenger.Evacuation{FailureDomain: domain, Active: active}})
+// domain, or revokes it. It is carried out only if there was no other order on that domain
+// after the log index order.After. It returns nil once what it requests is or was in force
+// after the call, an *UnboundOrderError if order.After is absent or too old, an
+// *UnknownDomainError if there is no such failure domain, and ErrOutcomeUnknown if the same
+// order should be sent again.
+func (d *Director) Evacuate(ctx context.Context, order messenger.Evacuation) error {
+	answer := d.handleEvacuate(ctx, messenger.EvacuationRequest{Evacuation: &order})
 	switch {
 	case answer.Accepted:
 		return nil
 	case answer.Unknown:
-		return &UnknownDomainError{Domain: domain, Known: answer.FailureDomains}
+		return &UnknownDomainError{Domain: order.FailureDomain, Known: answer.FailureDomains}
+	case answer.After != 0:
+		return &UnboundOrderError{After: answer.After}
 	}
 	return ErrOutcomeUnknown
 }
@@ -51,60 +65,67 @@
 	if request.Evacuation == nil {
 		return messenger.EvacuationAnswer{}
 	}
-	if d.maybeLate() {
-		countEvacuationOrder(*request.Evacuation, "late")
-		d.log.Info("evacuation order not carried out; it may have been sent before this process stood still", "failure-domain", request.Evacuation.FailureDomain, "active", request.Evacuation.Active)
-		return messenger.EvacuationAnswer{}
-	}
 	if _, leading := d.leaderAddress(); !leading {
 		request.Hops++
 		answer, _ := forwardToLeader[messenger.EvacuationAnswer](ctx, d, "/fleet/evacuate", request.Hops, commandTimeout, request)
 		return answer
 	}
-	order := messenger.Evacuation{FailureDomain: request.Evacuation.FailureDomain, Active: request.Evacuation.Active}
+	order := messenger.Evacuation{FailureDomain: request.Evacuation.FailureDomain, Active: request.Evacuation.Active, After: request.Evacuation.After}
 	if known, certain := d.knownDomains(); !slices.Contains(known, order.FailureDomain) {
 		countEvacuationOrder(order, "unknown")
 		return messenger.EvacuationAnswer{Unknown: certain, FailureDomains: known}
 	}
-	err := d.commitEvacuation(ctx, order)
-	result := "accepted"
-	if err != nil {
-		result = "failed"
+	carriedOut, err := d.commitEvacuation(ctx, order)
+	switch {
+	case err != nil:
+		countEvacuationOrder(order, "failed")
+		d.log.Info("evacuation order failed", "failure-domain", order.FailureDomain, "active", order.Active, "after", order.After, "err", err)
+		return messenger.EvacuationAnswer{}
+	case !carriedOut:
+		last, applied := d.lastOrder(order.FailureDomain)
+		countEvacuationOrder(order, "unbound")
+		d.log.Info("evacuation order sent back; it does not name the last order or the log after it", "failure-domain", order.FailureDomain, "active", order.Active, "after", order.After, "last", last, "applied", applied)
+		return messenger.EvacuationAnswer{After: applied}
 	}
-	countEvacuationOrder(order, result)
-	d.log.Info("evacuation ordered", "failure-domain", order.FailureDomain, "active", order.Active, "err", err)
-	return messenger.EvacuationAnswer{Accepted: err == nil}
+	countEvacuationOrder(order, "accepted")
+	d.log.Info("evacuation ordered", "failure-domain", order.FailureDomain, "active", order.Active, "after", order.After)
+	return messenger.EvacuationAnswer{Accepted: true}
 }
 
 func countEvacuationOrder(order messenger.Evacuation, result string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`papayaseam_evacuation_orders_total{active="%t",result=%q}`, order.Active, result)).Inc()
 }
 
-// commitEvacuation returns nil once an order is or was in force after the call. Where the
-// failure domain is in that state already, a quorum confirms this without a log entry. The
-// state is read after the confirmation, because a new leader may not have applied yet what
-// an earlier one acknowledged.
-func (d *Director) commitEvacuation(ctx context.Context, order messenger.Evacuation) error {
-	if d.isEvacuated(order.FailureDomain) == order.Active {
+// commitEvacuation reports whether an order was carried out. Only the log decides: the check
+// here keeps orders out of it that are certain to be rejected. A new leader may not have
+// applied yet what the order names, so that a quorum confirms the applied index first.
+// Otherwise a log entry is written even if the failure domain is in that state already,
+// since earlier orders that are still on the way must not be carried out afterwards.
+func (d *Director) commitEvacuation(ctx context.Context, order messenger.Evacuation) (carriedOut bool, err error) {
+	if !d.isBound(order) {
 		if err := d.confirm(ctx); err != nil {
-			return err
+			return false, err
 		}
-		if d.isEvacuated(order.FailureDomain) == order.Active {
-			return nil
+		if !d.isBound(order) {
+			return false, nil
 		}
 	}
-	if d.maybeLate() {
-		return ErrOutcomeUnknown
-	}
-	_, err := d.commit(ctx, messenger.FleetCommand{Evacuation: &order})
-	return err
+	return d.commit(ctx, messenger.FleetCommand{Evacuation: &order})
+}
+
+// isBound reports whether an order names the last one that was applied on its failure
+// domain, or a later point of the log.
+func (d *Director) isBound(order messenger.Evacuation) bool {
+	last, applied := d.lastOrder(order.FailureDomain)
+	return order.After > 0 && order.After >= last && order.After <= applied
 }
 
-// isEvacuated reports whether a failure domain is evacuated by the applied state.
-func (d *Director) isEvacuated(domain string) bool {
+// lastOrder returns the log indexes of the last applied order on a failure domain and of
+// the last applied entry.
+func (d *Director) lastOrder(domain string) (index, applied int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.state.Evacuations().Evacuated(domain)
+	return d.state.Evacuations().LastIndex(domain), d.appliedIndex
 }
 
 // knownDomains returns the failure domains that may be evacuated, sorted: those of the
--- a/internal/director/evacuate_test.go
+++ b/internal/director/evacuate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"strings"
 	"sync"
 	"testing"
@@ -17,10 +18,49 @@
 	"gotest.tools/v3/assert"
 )
 
-// evacuate sends an order to a process until it is acknowledged, as an operator does.
+// maxRedirects is how often a caller sends an order again with what it must name.
+const maxRedirects = 2
+
+// order sends an order to a process as an operator does.
+func (n *node) order(domain string, active bool) error {
+	order := messenger.Evacuation{FailureDomain: domain, Active: active}
+	var unbound *UnboundOrderError
+	for range maxRedirects {
+		err := n.director.Evacuate(context.Background(), order)
+		if !errors.As(err, &unbound) {
+			return err
+		}
+		order.After = unbound.After
+	}
+	return n.director.Evacuate(context.Background(), order)
+}
+
+// evacuate sends an order to a process until it is acknowledged.
 func (c *cluster) evacuate(n *node, domain string, active bool) {
 	c.t.Helper()
-	c.waitUntil("the order is not acknowledged", func() bool { return n.director.Evacuate(context.Background(), domain, active) == nil })
+	c.waitUntil("the order is not acknowledged", func() bool { return n.order(domain, active) == nil })
+}
+
+// bind returns an order as its caller would send it now, after the redirect.
+func (c *cluster) bind(n *node, domain string, active bool) messenger.Evacuation {
+	c.t.Helper()
+	order := messenger.Evacuation{FailureDomain: domain, Active: active}
+	c.waitUntil("the order is not sent back", func() bool {
+		var unbound *UnboundOrderError
+		if !errors.As(n.director.Evacuate(context.Background(), order), &unbound) {
+			return false
+		}
+		order.After = unbound.After
+		return true
+	})
+	return order
+}
+
+// isEvacuated reports whether a failure domain is evacuated by the applied state.
+func (d *Director) isEvacuated(domain string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Evacuations().Evacuated(domain)
 }
 
 // confirmedEvacuation reports whether a failure domain is evacuated according to the first
@@ -171,22 +211,96 @@
 	}
 }
 
-// TestRepeatedOrderIsConfirmedWithoutALogEntry guards against a log that grows with each
-// order that is sent again.
-func TestRepeatedOrderIsConfirmedWithoutALogEntry(t *testing.T) {
+// TestOrderReadLateIsNotCarriedOut guards against the end of an evacuation that a process
+// reads late, because the path to it or the process itself stood still, and carries out
+// although its caller has repeated it elsewhere, and a newer evacuation was acknowledged: at
+// the leader, and where it is forwarded.
+func TestOrderReadLateIsNotCarriedOut(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	for _, n := range []*node{leader, c.otherNode(leader)} {
+		c.evacuate(leader, "d0", true)
+		unbound, bound := messenger.Evacuation{FailureDomain: "d0"}, c.bind(n, "d0", false)
+		c.evacuate(leader, "d0", false)
+		c.evacuate(leader, "d0", true)
+		for _, late := range []messenger.Evacuation{unbound, bound} {
+			assert.Assert(t, n.director.Evacuate(context.Background(), late) != nil)
+			assert.Assert(t, leader.director.isEvacuated("d0"), "a late order ended the evacuation")
+		}
+		c.evacuate(n, "d0", false)
+		assert.Assert(t, !leader.director.isEvacuated("d0"))
+	}
+}
+
+// TestRepeatedOrderInvalidatesLateOnes guards against an order in force that is sent again,
+// and acknowledged without a trace: a late one to the contrary would be carried out after
+// it. The log grows by one entry for each acknowledgement, and by none for an order that is
+// not bound, or no longer.
+func TestRepeatedOrderInvalidatesLateOnes(t *testing.T) {
 	c := newCluster(t)
 	leader := c.waitForLeader()
 	c.declare(leader, "7 seven")
 	c.evacuate(leader, "d0", true)
-	before, err := leader.director.journal.Load()
+	entries := func() int {
+		state, err := leader.director.journal.Load()
+		assert.NilError(t, err)
+		return len(state.Entries)
+	}
+	for _, n := range []*node{leader, c.otherNode(leader)} {
+		before, records := entries(), len(leader.director.state.Evacuations().Records())
+		late := c.bind(n, "d0", false)
+		c.evacuate(n, "d0", true)
+		for range 5 {
+			var unbound *UnboundOrderError
+			c.waitUntil("a late order is not sent back", func() bool { return errors.As(n.director.Evacuate(context.Background(), late), &unbound) })
+			assert.Assert(t, unbound.After > late.After)
+			assert.Assert(t, c.confirmedEvacuation(n, "d0"), "a late order was carried out")
+		}
+		assert.Equal(t, entries(), before+1)
+		assert.Equal(t, len(leader.director.state.Evacuations().Records()), records)
+		assert.Equal(t, leader.director.state.Evacuations().Revision(), 1)
+	}
+}
+
+// TestOrderIsOnlyCarriedOutIfItsStateIsCurrentInTheLog guards against two orders that were
+// bound to the same state and are both carried out, since both were checked before either
+// was committed, and against an order of an earlier leader's time.
+func TestOrderIsOnlyCarriedOutIfItsStateIsCurrentInTheLog(t *testing.T) {
+	c := newCluster(t)
+	first := c.waitForLeader()
+	c.evacuate(first, "d0", false)
+	start, end := c.bind(first, "d0", true), c.bind(first, "d0", false)
+	carriedOut, err := first.director.commit(context.Background(), messenger.FleetCommand{Evacuation: &start})
 	assert.NilError(t, err)
-	for range 5 {
-		c.evacuate(c.otherNode(leader), "d0", true)
-		c.evacuate(leader, "d1", false)
+	assert.Assert(t, carriedOut)
+	for _, late := range []messenger.Evacuation{start, end} {
+		carriedOut, err = first.director.commit(context.Background(), messenger.FleetCommand{Evacuation: &late})
+		assert.NilError(t, err)
+		assert.Assert(t, !carriedOut)
 	}
-	after, err := leader.director.journal.Load()
+	early := c.bind(first, "d1", true)
+	first.shutDown()
+	next := c.waitForLeader()
+	assert.Assert(t, c.confirmedEvacuation(next, "d0"))
+	var unbound *UnboundOrderError
+	c.waitUntil("a late order is not sent back", func() bool { return errors.As(next.director.Evacuate(context.Background(), end), &unbound) })
+	c.waitUntil("an order with a current state is not carried out by the next leader", func() bool { return next.director.Evacuate(context.Background(), early) == nil })
+	assert.Assert(t, c.confirmedEvacuation(next, "d1"))
+}
+
+// TestOrderThatNamesTheFutureIsNotCarriedOut guards against a forged order that no later one
+// would ever invalidate.
+func TestOrderThatNamesTheFutureIsNotCarriedOut(t *testing.T) {
+	c := newCluster(t)
+	leader := c.waitForLeader()
+	c.evacuate(leader, "d0", true)
+	order := messenger.Evacuation{FailureDomain: "d0", After: math.MaxInt}
+	var unbound *UnboundOrderError
+	c.waitUntil("the order is not sent back", func() bool { return errors.As(leader.director.Evacuate(context.Background(), order), &unbound) })
+	carriedOut, err := leader.director.commit(context.Background(), messenger.FleetCommand{Evacuation: &order})
 	assert.NilError(t, err)
-	assert.Equal(t, len(after.Entries), len(before.Entries))
+	assert.Assert(t, !carriedOut)
+	assert.Assert(t, c.confirmedEvacuation(leader, "d0"))
 }
 
 // TestLeaderWithoutAQuorumAcknowledgesNoOrder guards against a leader that was replaced and
@@ -202,7 +316,7 @@
 		}
 	}
 	for _, active := range []bool{true, false} {
-		assert.Assert(t, errors.Is(leader.director.Evacuate(context.Background(), "d0", active), ErrOutcomeUnknown))
+		assert.Assert(t, errors.Is(leader.order("d0", active), ErrOutcomeUnknown))
 	}
 }
 
@@ -216,7 +330,7 @@
 		var wg sync.WaitGroup
 		for j, n := range c.nodes {
 			for range 4 {
-				wg.Go(func() { _ = n.director.Evacuate(context.Background(), "d0", j%2 == 0) })
+				wg.Go(func() { _ = n.order("d0", j%2 == 0) })
 			}
 		}
 		wg.Wait()
@@ -238,7 +352,7 @@
 		for _, domain := range []string{"", "d3", strings.Repeat("x", 1<<16)} {
 			var unknown *UnknownDomainError
 			c.waitUntil("the order is not refused", func() bool {
-				return errors.As(n.director.Evacuate(context.Background(), domain, true), &unknown)
+				return errors.As(n.order(domain, true), &unknown)
 			})
 			assert.DeepEqual(t, unknown.Known, []string{"d0", "d1", "d2"})
 		}
@@ -293,13 +407,13 @@
 	apply(false)
 	same, _ := d.evacuationEndedAt("d0")
 	assert.Equal(t, same, at, "a repeated revocation ended it anew")
-	snapshot, err := d.state.Snapshot()
+	data, err := d.state.Snapshot()
 	assert.NilError(t, err)
 	apply(true)
 	assert.Assert(t, !ended())
 	restarted, err := New(Config{Name: "c", Address: "127.0.0.1:1"}, unresponsiveEndpoints{}, discardLogger())
 	assert.NilError(t, err)
-	assert.NilError(t, restarted.restore(snapshot))
+	assert.NilError(t, restarted.restore(messenger.Snapshot{Index: 1, Data: data}))
 	_, ok := restarted.evacuationEndedAt("d0")
 	assert.Assert(t, ok)
 }
--- a/internal/director/replica.go
+++ b/internal/director/replica.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.restore(state.Snapshot.Data); err != nil {
+	if err := d.restore(state.Snapshot); err != nil {
 		return err
 	}
 	d.machine = replicator.New(d.identity, state, replicator.WithSeed(uint64(now())))
@@ -180,7 +180,7 @@
 		}
 	case replicator.RestoreEffect:
 		d.updateVoters()
-		return d.restore(effect.Snapshot.Data)
+		return d.restore(effect.Snapshot)
 	case replicator.LeaderChangedEffect:
 		d.handleLeaderChange(effect)
 	}
@@ -201,12 +201,13 @@
 }
 
 // restore replaces the applied state with a snapshot.
-func (d *Director) restore(data []byte) error {
+func (d *Director) restore(snapshot messenger.Snapshot) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err := d.state.Restore(data); err != nil {
+	if err := d.state.Restore(snapshot.Data); err != nil {
 		return err
 	}
+	d.appliedIndex = snapshot.Index
 	d.loadConfiguration()
 	d.quarantineChanged()
 	if d.state.Evacuations().Revision() > 0 {
@@ -226,6 +227,7 @@
 		if entry.Kind == replicator.EntryCommand {
 			results[i].changed = d.applyCommand(entry)
 		}
+		d.appliedIndex = entry.Index
 	}
 	if after, _ := d.state.Document(); after != before {
 		d.loadConfiguration()
@@ -264,7 +266,7 @@
 		d.log.Error("skipping undecodable log entry", "index", entry.Index, "err", err)
 		return false
 	}
-	changed := d.state.Update(cataloguer.CommandMsg{Command: command})
+	changed := d.state.Update(cataloguer.CommandMsg{Command: command, Index: entry.Index})
 	if d.leading {
 		d.trackCommitted(command)
 	}
--- a/internal/director/standstill_test.go
+++ b/internal/director/standstill_test.go
@@ -7,7 +7,6 @@
 
 	"papayaseam/internal/messenger"
 
-	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -37,23 +36,6 @@
 	assert.Assert(t, !s.maybeLate(4*time.Second+lateReadPeriod), "for good")
 }
 
-// TestOrderReadAfterAStandstillIsNotCarriedOut guards against an order to end an evacuation that
-// a process reads as it wakes, and carries out although a newer evacuation was acknowledged: at
-// the leader, and where it is forwarded.
-func TestOrderReadAfterAStandstillIsNotCarriedOut(t *testing.T) {
-	c := newCluster(t)
-	leader := c.waitForLeader()
-	for _, n := range []*node{leader, c.otherNode(leader)} {
-		c.waitUntil("the evacuation is not accepted", func() bool { return n.director.Evacuate(context.Background(), "d0", true) == nil })
-		n.director.freeze(2 * time.Second)
-		err := n.director.Evacuate(context.Background(), "d0", false)
-		assert.Assert(t, errors.Is(err, ErrOutcomeUnknown), "%v", err)
-		assert.Assert(t, leader.director.isEvacuated("d0"), "a late order ended the evacuation")
-		c.waitUntil("orders are refused for good", func() bool { return n.director.Evacuate(context.Background(), "d0", false) == nil })
-		assert.Assert(t, !leader.director.isEvacuated("d0"))
-	}
-}
-
 // TestDepartureReadAfterAStandstillIsNotTaken guards against the departure of an earlier boot,
 // which names none, that is read late and ends the use of the next boot under the same id.
 func TestDepartureReadAfterAStandstillIsNotTaken(t *testing.T) {
--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -111,3 +111,67 @@
 		}
 	})
 }
+
+// TestLateOrdersChangeNothing checks for random orders, of which any copy may arrive late,
+// again or never, and may be given up by its caller, that none is carried out after another
+// one on its failure domain that was sent later; that one which names the newest state
+// always is; and that all copies of the state decide alike.
+func TestLateOrdersChangeNothing(t *testing.T) {
+	type call struct {
+		order messenger.Evacuation
+		sent  int // sent is the log index at which the caller learned what it names.
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		e, copied := New(WithMaxRevoked(1)), New(WithMaxRevoked(1))
+		index := rapid.IntRange(1, 5).Draw(t, "first")
+		carriedOutAt := map[string]int{}
+		var calls []call
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(calls) == 0 || rapid.Bool().Draw(t, "sent") {
+				domain := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain")
+				calls = append(calls, call{messenger.Evacuation{FailureDomain: domain, Active: rapid.Bool().Draw(t, "active"), After: index}, index})
+				continue
+			}
+			index += rapid.IntRange(1, 3).Draw(t, "entries")
+			c := rapid.SampledFrom(calls).Draw(t, "arrives")
+			before := e.Evacuated(c.order.FailureDomain)
+			carriedOut := e.Update(CommandMsg{Evacuation: c.order, Index: index})
+			if want := c.sent >= carriedOutAt[c.order.FailureDomain]; carriedOut != want && (carriedOut || e.Known(c.order.FailureDomain)) {
+				t.Fatalf("order %+v, sent at %d, after one at %d: carried out = %v", c.order, c.sent, carriedOutAt[c.order.FailureDomain], carriedOut)
+			}
+			want := before
+			if carriedOut {
+				want = c.order.Active
+				carriedOutAt[c.order.FailureDomain] = index
+			}
+			if e.Evacuated(c.order.FailureDomain) != want {
+				t.Fatalf("order %+v: evacuated = %v, want %v", c.order, !want, want)
+			}
+			copied.Update(CommandMsg{Evacuation: c.order, Index: index})
+			if rapid.Bool().Draw(t, "snapshot") {
+				copied = New(WithMaxRevoked(1))
+				copied.Update(RestoreMsg{List: e.Snapshot()})
+			}
+			if fmt.Sprint(e.Snapshot()) != fmt.Sprint(copied.Snapshot()) {
+				t.Fatalf("state %v, copy %v", e.Snapshot(), copied.Snapshot())
+			}
+		}
+	})
+}
+
+// TestLogOfAnEarlierVersionIsAppliedAsItWas guards against replicas that differ after an
+// update, since their logs and snapshots hold orders that name no log index.
+func TestLogOfAnEarlierVersionIsAppliedAsItWas(t *testing.T) {
+	replayed, restored := New(), New()
+	restored.Update(RestoreMsg{List: messenger.EvacuationList{Revision: 2, FailureDomains: []messenger.Evacuation{{FailureDomain: "d0", Active: true, Modified: 1}, {FailureDomain: "d1", Active: true, Modified: 2}}}})
+	for index, domain := range []string{"d0", "d0", "d1"} {
+		replayed.Update(CommandMsg{Evacuation: messenger.Evacuation{FailureDomain: domain, Active: true}, Index: index + 1})
+	}
+	for _, e := range []*Evacuator{replayed, restored} {
+		assert.Equal(t, e.Revision(), 2)
+		assert.Assert(t, e.Update(CommandMsg{Evacuation: messenger.Evacuation{FailureDomain: "d0", After: 7}, Index: 8}))
+		assert.Assert(t, !e.Update(CommandMsg{Evacuation: messenger.Evacuation{FailureDomain: "d0", Active: true, After: 7}, Index: 9}))
+		assert.Assert(t, !e.Evacuated("d0") && e.Evacuated("d1"))
+		assert.Equal(t, e.Revision(), 3)
+	}
+}
--- a/internal/messenger/fleet.go
+++ b/internal/messenger/fleet.go
@@ -282,9 +282,17 @@
 	// Active corresponds to the JSON schema field "active".
 	Active bool `json:"active,omitempty,omitzero"`
 
+	// The log index up to which the caller knows the orders on the failure domain: a
+	// later one invalidates this one. 0 where the caller knows none, and in logs of
+	// versions without it.
+	After int `json:"after,omitempty,omitzero"`
+
 	// FailureDomain corresponds to the JSON schema field "failure-domain".
 	FailureDomain string `json:"failure-domain,omitempty,omitzero"`
 
+	// The log index of the last order.
+	Index int `json:"index,omitempty,omitzero"`
+
 	// The revision of the last change.
 	Modified int `json:"modified,omitempty,omitzero"`
 }
@@ -294,6 +302,9 @@
 	// Accepted corresponds to the JSON schema field "accepted".
 	Accepted bool `json:"accepted,omitempty,omitzero"`
 
+	// The log index that the order must name to be carried out; 0 if it is not known.
+	After int `json:"after,omitempty,omitzero"`
+
 	// The known failure domains.
 	FailureDomains []string `json:"failure-domains,omitempty,omitzero"`
 
@@ -303,6 +314,9 @@
 
 // The last order for each failure domain that ever had one.
 type EvacuationList struct {
+	// The highest log index of an order whose record was dropped.
+	Dropped int `json:"dropped,omitempty,omitzero"`
+
 	// FailureDomains corresponds to the JSON schema field "failure-domains".
 	FailureDomains []Evacuation `json:"failure-domains,omitempty,omitzero"`
 
@@ -622,6 +636,11 @@
 // The crashes under one content. None means that the content is no longer
 // suspected.
 type QuarantineRecord struct {
+	// The log index up to which the caller knows the orders on the failure domain: a
+	// later one invalidates this one. 0 where the caller knows none, and in logs of
+	// versions without it.
+	After int `json:"after,omitempty,omitzero"`
+
 	// Those of the boots that do not count, since they were lost at about the same
 	// time as one that does.
 	Beside []string `json:"beside,omitempty,omitzero"`
@@ -635,6 +654,9 @@
 	// How often the content was held before.
 	Holds int `json:"holds,omitempty,omitzero"`
 
+	// The log index of the last order.
+	Index int `json:"index,omitempty,omitzero"`
+
 	// Key corresponds to the JSON schema field "key".
 	Key string `json:"key,omitempty,omitzero"`
 
@@ -680,9 +702,17 @@
 
 // A boot that runs on although a crash of it was reported.
 type RunningBoot struct {
+	// The log index up to which the caller knows the orders on the failure domain: a
+	// later one invalidates this one. 0 where the caller knows none, and in logs of
+	// versions without it.
+	After int `json:"after,omitempty,omitzero"`
+
 	// Boot corresponds to the JSON schema field "boot".
 	Boot string `json:"boot,omitempty,omitzero"`
 
+	// The log index of the last order.
+	Index int `json:"index,omitempty,omitzero"`
+
 	// The revision of the last change.
 	Modified int `json:"modified,omitempty,omitzero"`
 }
